--- /dev/null
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartLoader.kt
@@ -0,0 +1,82 @@
+package org.wisteriahinge.charts
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapError
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+
+/**
+ * Parses and validates the chart in [text]; [file] names it in faults.
+ *
+ * All faults of a well-formed file are returned together.
+ */
+public fun <S : ChartName, E : ChartName, A : ChartName> loadChart(
+    file: String,
+    text: String,
+    vocabulary: ChartVocabulary<S, E, A>,
+): Result<Chart<S, E, A>, PersistentList<ChartFault>> =
+    parseChartDocument(file, text)
+        .mapError { persistentListOf(it) }
+        .flatMap { document ->
+            val faults = validateChart(file, document, vocabulary)
+            if (faults.isEmpty()) Ok(buildChart(document, vocabulary)) else Err(faults)
+        }
+
+/**
+ * Loads the chart `charts/<name>.yaml` from the class path.
+ *
+ * @throws InvalidChartException if the file is missing or any fault is found; a process must not
+ * start with a chart that it cannot interpret.
+ */
+public fun <S : ChartName, E : ChartName, A : ChartName> loadChartResource(
+    name: String,
+    vocabulary: ChartVocabulary<S, E, A>,
+): Chart<S, E, A> {
+    val file = "charts/$name.yaml"
+    val text = vocabulary::class.java.classLoader.getResourceAsStream(file)
+        ?.use { it.readBytes().decodeToString() }
+        ?: throw InvalidChartException("$file: not on the class path; reinstall the binary")
+    return loadChart(file, text, vocabulary).getOrElse { faults ->
+        throw InvalidChartException(faults.joinToString("\n") { it.message })
+    }
+}
+
+/** A chart that the process needs cannot be interpreted; the message lists every fault. */
+public class InvalidChartException(message: String) : Exception(message)
+
+private fun <S : ChartName, E : ChartName, A : ChartName> buildChart(
+    document: ChartDocument,
+    vocabulary: ChartVocabulary<S, E, A>,
+): Chart<S, E, A> {
+    val states = vocabulary.states.byName()
+    val events = vocabulary.events.byName()
+    val effects = vocabulary.effects.byName()
+    val transitions = document.states.associate { state ->
+        states.getValue(state.name.name) to state.transitions.associate { transition ->
+            val step = ChartStep(
+                state = states.getValue(transition.target.name),
+                effects = transition.effects.map { effects.getValue(it.name) }.toPersistentList(),
+            )
+            events.getValue(transition.event.name) to step
+        }.toPersistentMap()
+    }
+    return Chart(
+        name = document.name,
+        initial = states.getValue(document.initial.name),
+        finalStates = document.states.filter { it.isFinal }
+            .map { states.getValue(it.name.name) }.toPersistentSet(),
+        transitions = transitions.toPersistentMap(),
+    )
+}
+
+internal fun <N : ChartName> List<N>.byName(): PersistentMap<String, N> =
+    fold(persistentHashMapOf()) { map, name -> map.put(name.chartName, name) }
