Serve one call end to end through duties, rings and charts

A caller's HTTP request is authenticated, matched to an operation, routed to a target and answered; the two lists are published to the platform log and followed by a tail duty. The attempt's life is a chart that the decision code interprets.

--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CredentialHasher.kt
@@ -0,0 +1,33 @@
+package org.wisteriahinge.adapters.caller
+
+import java.util.HexFormat
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+import org.wisteriahinge.core.call.PresentedCredential
+import org.wisteriahinge.core.model.CredentialId
+
+private const val ALGORITHM = "HmacSHA256"
+private const val BEARER_PREFIX = "Bearer "
+
+/** Computes keyed hashes of callers' secrets with the deployment's credential key. */
+public class CredentialHasher(key: ByteArray) {
+    private val keySpec = SecretKeySpec(key, ALGORITHM)
+
+    /** HMAC-SHA-256 of [secret] in lower-case hexadecimal. */
+    public fun hash(secret: String): String {
+        val mac = Mac.getInstance(ALGORITHM).apply { init(keySpec) }
+        return HexFormat.of().formatHex(mac.doFinal(secret.encodeToByteArray()))
+    }
+
+    /** Reads `Bearer <credential id>.<secret>`; null when [authorization] has another form. */
+    public fun present(authorization: String?): PresentedCredential? {
+        val token = authorization?.takeIf { it.startsWith(BEARER_PREFIX, ignoreCase = true) }
+            ?.drop(BEARER_PREFIX.length)?.trim() ?: return null
+        val separator = token.indexOf('.')
+        if (separator <= 0) return null
+        return PresentedCredential(
+            id = CredentialId(token.take(separator)),
+            keyedHash = hash(token.drop(separator + 1))
+        )
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/HttpPlatformLog.kt
@@ -0,0 +1,125 @@
+package org.wisteriahinge.adapters.log
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import java.io.Closeable
+import java.io.IOException
+import java.net.ConnectException
+import java.time.Duration
+import java.util.Base64
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.wisteriahinge.runtime.LogBounds
+import org.wisteriahinge.runtime.LogFailure
+import org.wisteriahinge.runtime.LogRecord
+import org.wisteriahinge.runtime.LogStream
+import org.wisteriahinge.runtime.PlatformLog
+
+/** Record of a stream as JSON: its offset and its payload in base64. */
+@Serializable
+public data class WireRecord(val offset: Long, val payload: String)
+
+/** Retained offsets of a stream as JSON. */
+@Serializable
+public data class WireBounds(val earliest: Long, val next: Long)
+
+/** Answer to an append as JSON: the offset of its first record. */
+@Serializable
+public data class WireAppended(val offset: Long)
+
+/** Header that carries the append's id. */
+public const val APPEND_ID_HEADER: String = "Append-Id"
+
+/** The platform's log over the HTTP protocol of section 9 of the design page. */
+public class HttpPlatformLog(private val baseUrl: String, private val operationTimeout: Duration) :
+    PlatformLog,
+    Closeable {
+    private val client = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout)
+    }
+
+    override fun append(
+        stream: LogStream,
+        appendId: String,
+        records: PersistentList<ByteArray>
+    ): Result<Long, LogFailure> {
+        val encoded = records.map { Base64.getEncoder().encodeToString(it) }
+        return exchange(Duration.ZERO) { limitMillis ->
+            client.post("$baseUrl/streams/${stream.wireName}") {
+                timeout { requestTimeoutMillis = limitMillis }
+                header(APPEND_ID_HEADER, appendId)
+                setBody(Json.encodeToString(encoded))
+            }
+        }.map { Json.decodeFromString<WireAppended>(it).offset }
+    }
+
+    override fun read(
+        stream: LogStream,
+        fromOffset: Long,
+        max: Int,
+        waitUpTo: Duration
+    ): Result<PersistentList<LogRecord>, LogFailure> {
+        val query = "from=$fromOffset&max=$max&wait_ms=${waitUpTo.toMillis()}"
+        return exchange(waitUpTo) { limitMillis ->
+            client.get("$baseUrl/streams/${stream.wireName}?$query") {
+                timeout { requestTimeoutMillis = limitMillis }
+            }
+        }.map { text ->
+            Json.decodeFromString<List<WireRecord>>(text)
+                .map { LogRecord(it.offset, Base64.getDecoder().decode(it.payload)) }
+                .toPersistentList()
+        }
+    }
+
+    override fun bounds(stream: LogStream): Result<LogBounds, LogFailure> =
+        exchange(Duration.ZERO) { limitMillis ->
+            client.get("$baseUrl/streams/${stream.wireName}/bounds") {
+                timeout { requestTimeoutMillis = limitMillis }
+            }
+        }.map { text ->
+            Json.decodeFromString<WireBounds>(text).let { LogBounds(it.earliest, it.next) }
+        }
+
+    private fun exchange(
+        extra: Duration,
+        send: suspend (limitMillis: Long) -> HttpResponse
+    ): Result<String, LogFailure> = runBlocking {
+        try {
+            val answer = send(operationTimeout.plus(extra).toMillis())
+            resultOf(answer.status, answer.bodyAsText())
+        } catch (e: ConnectException) {
+            Err(LogFailure.Unavailable(e.message ?: "connection refused"))
+        } catch (e: IOException) {
+            Err(LogFailure.OutcomeUnknown(e.message ?: e.javaClass.simpleName))
+        }
+    }
+
+    private fun resultOf(status: HttpStatusCode, body: String): Result<String, LogFailure> =
+        when (status) {
+            HttpStatusCode.OK -> Ok(body)
+            HttpStatusCode.Gone ->
+                Err(LogFailure.Expired(Json.decodeFromString<WireBounds>(body).earliest))
+            else -> Err(LogFailure.Unavailable("status ${status.value}"))
+        }
+
+    override fun close() {
+        client.close()
+    }
+}
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -0,0 +1,18 @@
+package org.wisteriahinge.app
+
+import java.time.Duration
+import org.wisteriahinge.core.model.Zone
+
+/** Settings of one instance. [credentialKey] is secret and never printed. */
+public class InstanceSettings(
+    public val zone: Zone,
+    public val callerHost: String,
+    public val callerPort: Int,
+    public val logUrl: String,
+    public val credentialKey: String,
+    public val seed: Long,
+    public val logTimeout: Duration = Duration.ofSeconds(5),
+    public val defaultTimeout: Duration = Duration.ofSeconds(10),
+    public val maxTimeout: Duration = Duration.ofMinutes(10),
+    public val maxConnectionsPerTarget: Int = 13
+)
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/Chart.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/Chart.kt
@@ -8,7 +8,7 @@
 /** The state after an event and the effects that the chart file lists for the transition. */
 public data class ChartStep<S : ChartName, A : ChartName>(
     val state: S,
-    val effects: PersistentList<A>,
+    val effects: PersistentList<A>
 )
 
 /**
@@ -22,7 +22,7 @@
     public val name: String,
     public val initial: S,
     public val finalStates: PersistentSet<S>,
-    private val transitions: PersistentMap<S, PersistentMap<E, ChartStep<S, A>>>,
+    private val transitions: PersistentMap<S, PersistentMap<E, ChartStep<S, A>>>
 ) {
     /** Interprets [event] in [state]. An ignored event, or any event in a final state, keeps it. */
     public fun step(state: S, event: E): ChartStep<S, A> =
@@ -41,5 +41,5 @@
 public data class ChartRow<S : ChartName, E : ChartName, A : ChartName>(
     val state: S,
     val event: E,
-    val step: ChartStep<S, A>,
+    val step: ChartStep<S, A>
 )
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/ChartDocument.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartDocument.kt
@@ -19,21 +19,21 @@
 internal data class TransitionText(
     val event: NameAt,
     val target: NameAt,
-    val effects: PersistentList<NameAt>,
+    val effects: PersistentList<NameAt>
 )
 
 internal data class StateText(
     val name: NameAt,
     val transitions: PersistentList<TransitionText>,
     val ignored: PersistentList<NameAt>,
-    val isFinal: Boolean,
+    val isFinal: Boolean
 )
 
 /** The content of a chart file before its names are resolved. */
 internal data class ChartDocument(
     val name: String,
     val initial: NameAt,
-    val states: PersistentList<StateText>,
+    val states: PersistentList<StateText>
 )
 
 internal class MalformedChartException(val fault: ChartFault.Malformed) :
@@ -57,7 +57,7 @@
             initial = map.required("initial").asName(),
             states = map.required("states").asMap("a map of states").entries
                 .map { (key, value) -> readState(key, value) }
-                .toPersistentList(),
+                .toPersistentList()
         )
     }
 
@@ -70,7 +70,7 @@
             name = key.asName(),
             transitions = transitions.toPersistentList(),
             ignored = map.optional("ignore").asNames(),
-            isFinal = map.optional("final")?.asName()?.name == "true",
+            isFinal = map.optional("final")?.asName()?.name == "true"
         )
     }
 
@@ -83,7 +83,7 @@
         return TransitionText(
             event = event.asName(),
             target = map.required("target").asName(),
-            effects = map.optional("effects").asNames(),
+            effects = map.optional("effects").asNames()
         )
     }
 
@@ -114,7 +114,7 @@
     private fun malformed(node: YamlNode, expected: String): Nothing {
         val found = if (node is YamlScalar) "'${node.content}'" else "a different structure"
         throw MalformedChartException(
-            ChartFault.Malformed(file, node.location.line, found, expected),
+            ChartFault.Malformed(file, node.location.line, found, expected)
         )
     }
 }
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/ChartFault.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartFault.kt
@@ -14,7 +14,7 @@
         override val file: String,
         override val line: Int,
         val found: String,
-        val expected: String,
+        val expected: String
     ) : ChartFault() {
         override val message: String
             get() = "$file:$line: found $found, expected $expected; correct the chart file"
@@ -26,7 +26,7 @@
         override val line: Int,
         val kind: String,
         val name: String,
-        val known: List<String>,
+        val known: List<String>
     ) : ChartFault() {
         override val message: String
             get() = "$file:$line: unknown $kind '$name'; use one of ${known.joinToString()}"
@@ -36,7 +36,7 @@
     public data class UnreachableState(
         override val file: String,
         override val line: Int,
-        val state: String,
+        val state: String
     ) : ChartFault() {
         override val message: String
             get() = "$file:$line: state '$state' is unreachable; add a transition to it"
@@ -47,7 +47,7 @@
         override val file: String,
         override val line: Int,
         val state: String,
-        val event: String,
+        val event: String
     ) : ChartFault() {
         override val message: String
             get() =
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/ChartLoader.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartLoader.kt
@@ -22,14 +22,13 @@
 public fun <S : ChartName, E : ChartName, A : ChartName> loadChart(
     file: String,
     text: String,
-    vocabulary: ChartVocabulary<S, E, A>,
-): Result<Chart<S, E, A>, PersistentList<ChartFault>> =
-    parseChartDocument(file, text)
-        .mapError { persistentListOf(it) }
-        .flatMap { document ->
-            val faults = validateChart(file, document, vocabulary)
-            if (faults.isEmpty()) Ok(buildChart(document, vocabulary)) else Err(faults)
-        }
+    vocabulary: ChartVocabulary<S, E, A>
+): Result<Chart<S, E, A>, PersistentList<ChartFault>> = parseChartDocument(file, text)
+    .mapError { persistentListOf(it) }
+    .flatMap { document ->
+        val faults = validateChart(file, document, vocabulary)
+        if (faults.isEmpty()) Ok(buildChart(document, vocabulary)) else Err(faults)
+    }
 
 /**
  * Loads the chart `charts/<name>.yaml` from the class path.
@@ -39,7 +38,7 @@
  */
 public fun <S : ChartName, E : ChartName, A : ChartName> loadChartResource(
     name: String,
-    vocabulary: ChartVocabulary<S, E, A>,
+    vocabulary: ChartVocabulary<S, E, A>
 ): Chart<S, E, A> {
     val file = "charts/$name.yaml"
     val text = vocabulary::class.java.classLoader.getResourceAsStream(file)
@@ -55,7 +54,7 @@
 
 private fun <S : ChartName, E : ChartName, A : ChartName> buildChart(
     document: ChartDocument,
-    vocabulary: ChartVocabulary<S, E, A>,
+    vocabulary: ChartVocabulary<S, E, A>
 ): Chart<S, E, A> {
     val states = vocabulary.states.byName()
     val events = vocabulary.events.byName()
@@ -64,7 +63,7 @@
         states.getValue(state.name.name) to state.transitions.associate { transition ->
             val step = ChartStep(
                 state = states.getValue(transition.target.name),
-                effects = transition.effects.map { effects.getValue(it.name) }.toPersistentList(),
+                effects = transition.effects.map { effects.getValue(it.name) }.toPersistentList()
             )
             events.getValue(transition.event.name) to step
         }.toPersistentMap()
@@ -74,7 +73,7 @@
         initial = states.getValue(document.initial.name),
         finalStates = document.states.filter { it.isFinal }
             .map { states.getValue(it.name.name) }.toPersistentSet(),
-        transitions = transitions.toPersistentMap(),
+        transitions = transitions.toPersistentMap()
     )
 }
 
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/ChartValidation.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartValidation.kt
@@ -8,7 +8,7 @@
 internal fun validateChart(
     file: String,
     document: ChartDocument,
-    vocabulary: ChartVocabulary<*, *, *>,
+    vocabulary: ChartVocabulary<*, *, *>
 ): PersistentList<ChartFault> {
     val unknown = unknownNames(file, document, vocabulary)
     val faults = unknown.ifEmpty {
@@ -22,7 +22,7 @@
 private fun unknownNames(
     file: String,
     document: ChartDocument,
-    vocabulary: ChartVocabulary<*, *, *>,
+    vocabulary: ChartVocabulary<*, *, *>
 ): List<ChartFault> {
     val transitions = document.states.flatMap { it.transitions }
     val states = document.states.map { it.name } + document.initial + transitions.map { it.target }
@@ -37,7 +37,7 @@
     file: String,
     kind: String,
     used: List<NameAt>,
-    known: List<ChartName>,
+    known: List<ChartName>
 ): List<ChartFault> {
     val names = known.map { it.chartName }
     return used.filter { it.name !in names }
@@ -47,7 +47,7 @@
 private fun unusedNames(
     file: String,
     document: ChartDocument,
-    vocabulary: ChartVocabulary<*, *, *>,
+    vocabulary: ChartVocabulary<*, *, *>
 ): List<ChartFault> {
     val stateNames = document.states.map { it.name.name }
     val eventNames = document.states.flatMap { state -> state.transitions.map { it.event.name } }
@@ -66,7 +66,7 @@
 
 private tailrec fun reachable(
     document: ChartDocument,
-    reached: PersistentSet<String>,
+    reached: PersistentSet<String>
 ): PersistentSet<String> {
     val next = document.states.filter { it.name.name in reached }
         .flatMap { state -> state.transitions.map { it.target.name } }
@@ -77,7 +77,7 @@
 private fun missingTransitions(
     file: String,
     document: ChartDocument,
-    vocabulary: ChartVocabulary<*, *, *>,
+    vocabulary: ChartVocabulary<*, *, *>
 ): List<ChartFault> = document.states.filterNot { it.isFinal }.flatMap { state ->
     val covered = state.transitions.map { it.event.name } + state.ignored.map { it.name }
     vocabulary.events.map { it.chartName }.filter { it !in covered }
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/ChartVocabulary.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartVocabulary.kt
@@ -11,5 +11,5 @@
 public data class ChartVocabulary<S : ChartName, E : ChartName, A : ChartName>(
     val states: PersistentList<S>,
     val events: PersistentList<E>,
-    val effects: PersistentList<A>,
+    val effects: PersistentList<A>
 )
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptChart.kt
@@ -0,0 +1,65 @@
+package org.wisteriahinge.core.call
+
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.charts.Chart
+import org.wisteriahinge.charts.ChartName
+import org.wisteriahinge.charts.ChartVocabulary
+import org.wisteriahinge.charts.loadChartResource
+
+/** The life of one attempt, as in `charts/call-attempt.yaml`. */
+public sealed class AttemptState(override val chartName: String) : ChartName {
+    public data object Sent : AttemptState("sent")
+    public data object Delivering : AttemptState("delivering")
+    public data object Complete : AttemptState("complete")
+    public data object Failed : AttemptState("failed")
+    public data object Cancelled : AttemptState("cancelled")
+}
+
+/** What can happen to an attempt. */
+public sealed class AttemptTrigger(override val chartName: String) : ChartName {
+    public data object Answered : AttemptTrigger("answered")
+    public data object Failed : AttemptTrigger("failed")
+    public data object Completed : AttemptTrigger("completed")
+    public data object Truncated : AttemptTrigger("truncated")
+    public data object Abandoned : AttemptTrigger("abandoned")
+}
+
+/** What a transition of an attempt asks for. */
+public sealed class AttemptAction(override val chartName: String) : ChartName {
+    public data object DeliverAnswer : AttemptAction("deliver_answer")
+    public data object ReleaseTarget : AttemptAction("release_target")
+    public data object ConsiderRetry : AttemptAction("consider_retry")
+    public data object CountTruncated : AttemptAction("count_truncated")
+    public data object CancelRequest : AttemptAction("cancel_request")
+    public data object FinishCall : AttemptAction("finish_call")
+}
+
+internal val attemptChart: Chart<AttemptState, AttemptTrigger, AttemptAction> by lazy {
+    loadChartResource(
+        "call-attempt",
+        ChartVocabulary(
+            states = persistentListOf(
+                AttemptState.Sent,
+                AttemptState.Delivering,
+                AttemptState.Complete,
+                AttemptState.Failed,
+                AttemptState.Cancelled
+            ),
+            events = persistentListOf(
+                AttemptTrigger.Answered,
+                AttemptTrigger.Failed,
+                AttemptTrigger.Completed,
+                AttemptTrigger.Truncated,
+                AttemptTrigger.Abandoned
+            ),
+            effects = persistentListOf(
+                AttemptAction.DeliverAnswer,
+                AttemptAction.ReleaseTarget,
+                AttemptAction.ConsiderRetry,
+                AttemptAction.CountTruncated,
+                AttemptAction.CancelRequest,
+                AttemptAction.FinishCall
+            )
+        )
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
@@ -0,0 +1,27 @@
+package org.wisteriahinge.core.call
+
+import org.wisteriahinge.core.model.Execution
+
+/** Why an attempt brought no answer, and what that says about whether the target ran it. */
+public sealed class AttemptFailure(public val wireName: String, public val execution: Execution) {
+    /** No connection was made, so nothing was sent. */
+    public data object ConnectFailed : AttemptFailure("connect_failed", Execution.NotRun)
+
+    /** The target stated that it shed the request. */
+    public data object Shed : AttemptFailure("shed", Execution.NotRun)
+
+    /** The target stated that it is draining and did not run the request. */
+    public data object TargetDraining : AttemptFailure("target_draining", Execution.NotRun)
+
+    /** The front end failed before the first byte was sent. */
+    public data object NotSent : AttemptFailure("not_sent", Execution.NotRun)
+
+    /** The connection closed after the request was sent and before an answer began. */
+    public data object Disconnected : AttemptFailure("disconnected", Execution.MayHaveRun)
+
+    /** The deadline passed before an answer began. */
+    public data object TimedOut : AttemptFailure("timed_out", Execution.MayHaveRun)
+
+    /** The answer was not valid HTTP or exceeded a limit. */
+    public data object InvalidAnswer : AttemptFailure("invalid_answer", Execution.MayHaveRun)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -0,0 +1,48 @@
+package org.wisteriahinge.core.call
+
+import org.wisteriahinge.core.model.AttemptId
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.model.TargetId
+
+/** What can happen to the calls of an instance. */
+public sealed interface CallEvent {
+    /** A caller's request whose head was read and checked. */
+    public data class Arrived(val request: CallRequest) : CallEvent
+
+    /** The head of a target's answer arrived. [load] is the target's own report, if it sent one. */
+    public data class Answered(
+        val callId: CallId,
+        val attemptId: AttemptId,
+        val status: Int,
+        val load: LoadReport?
+    ) : CallEvent
+
+    /** An attempt ended without an answer. [replayable]: the body can be sent again. */
+    public data class AttemptFailed(
+        val callId: CallId,
+        val attemptId: AttemptId,
+        val failure: AttemptFailure,
+        val replayable: Boolean,
+        val load: LoadReport? = null
+    ) : CallEvent
+
+    /** The whole answer was passed to the caller. */
+    public data class Completed(val callId: CallId, val attemptId: AttemptId) : CallEvent
+
+    /** The target's answer ended early after its delivery began. */
+    public data class Truncated(val callId: CallId, val attemptId: AttemptId) : CallEvent
+
+    /** The caller closed its connection before its answer was complete. */
+    public data class CallerGone(val callId: CallId) : CallEvent
+
+    /** A report of a target's load from outside a call, for example from a probe. */
+    public data class LoadReported(val targetId: TargetId, val load: LoadReport) : CallEvent
+
+    /** A revision of the operators' lists came into force. */
+    public data class Configured(val configuration: Configuration) : CallEvent
+
+    /** Time passed; queued calls and deadlines are looked at. */
+    public data object Ticked : CallEvent
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecision.kt
@@ -0,0 +1,24 @@
+package org.wisteriahinge.core.call
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/** The next state and the effects that lead to it, in order. */
+public data class CallsDecision(
+    val state: CallsState,
+    val effects: PersistentList<CallEffect> = persistentListOf()
+) {
+    internal fun emit(effect: CallEffect): CallsDecision = copy(effects = effects.add(effect))
+
+    internal fun emitAll(more: List<CallEffect>): CallsDecision =
+        copy(effects = effects.addAll(more))
+
+    internal fun update(change: (CallsState) -> CallsState): CallsDecision =
+        copy(state = change(state))
+
+    /** Decides further from the state reached so far; effects accumulate. */
+    internal fun then(next: (CallsState) -> CallsDecision): CallsDecision {
+        val decision = next(state)
+        return CallsDecision(decision.state, effects.addAll(decision.effects))
+    }
+}
