--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/LogDuty.kt
@@ -0,0 +1,34 @@
+package org.wisteriahinge.runtime
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.PersistentList
+
+/** Receives the outcome of an append on the `log` duty's thread; hands it to a ring at once. */
+public fun interface AppendOutcome {
+    public fun accept(outcome: Result<Long, LogFailure>)
+}
+
+/** An append for the `log` duty. */
+public class AppendRequest(
+    public val stream: LogStream,
+    public val appendId: String,
+    public val records: PersistentList<ByteArray>,
+    public val onOutcome: AppendOutcome
+)
+
+/** Performs appends one at a time, in the order of their requests. */
+public class LogDuty(private val inbox: Ring<AppendRequest>, private val log: PlatformLog) :
+    Duty("log") {
+    override fun runOnce() {
+        val request = inbox.take()
+        request.onOutcome.accept(log.append(request.stream, request.appendId, request.records))
+    }
+}
+
+/** Hands [request] to the `log` duty, or fails it at once when the ring is full. */
+public fun Ring<AppendRequest>.submit(request: AppendRequest) {
+    if (offer(request) == Offer.Full) {
+        request.onOutcome.accept(Err(LogFailure.Unavailable("the append queue is full")))
+    }
+}
