Add membership from the instance list and authenticated heartbeats

Cause: instances need to know who takes part although the platform's list lags, and leases, rendezvous choices and gossip depend on it.

--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerCodec.kt
@@ -0,0 +1,91 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.wisteriahinge.adapters.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.security.MessageDigest
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import org.wisteriahinge.core.membership.PeerMessage
+
+/** Version of the messages that this code writes and reads. */
+public const val PEER_MESSAGE_VERSION: Byte = 1
+
+/** Largest message between instances in bytes, its version and authentication included. */
+public const val MAX_PEER_MESSAGE_BYTES: Int = 64 * 1024
+
+private const val ALGORITHM = "HmacSHA256"
+private const val HMAC_BYTES = 32
+private const val VERSION_BYTES = 1
+
+/** Why a received message was dropped. */
+public sealed class PeerMessageFault(public val wireName: String) {
+    /** Longer than [MAX_PEER_MESSAGE_BYTES] or too short to be a message. */
+    public data object BadSize : PeerMessageFault("bad_size")
+
+    /** The HMAC does not match: the sender lacks the peer key. */
+    public data object NotAuthentic : PeerMessageFault("not_authentic")
+
+    /** Written by a version that this code does not read. */
+    public data object UnknownVersion : PeerMessageFault("unknown_version")
+
+    /** Not a message of this version. */
+    public data object Malformed : PeerMessageFault("malformed")
+}
+
+/**
+ * Encodes and authenticates messages between instances.
+ *
+ * A message is its HMAC-SHA-256 (32 bytes), its version (1 byte) and its CBOR; the HMAC covers
+ * version and CBOR.
+ */
+public class PeerCodec(key: ByteArray) {
+    private val keySpec = SecretKeySpec(key, ALGORITHM)
+    private val cbor = Cbor {
+        preferCborLabelsOverNames = true
+        useDefiniteLengthEncoding = true
+        ignoreUnknownKeys = true
+    }
+
+    /** The bytes of [message], or [PeerMessageFault.BadSize] if they exceed the bound. */
+    public fun encode(message: PeerMessage): Result<ByteArray, PeerMessageFault> {
+        val body = cbor.encodeToByteArray(PeerWire.serializer(), message.toWire())
+        val content = byteArrayOf(PEER_MESSAGE_VERSION) + body
+        val encoded = hmac(content) + content
+        return if (encoded.size <= MAX_PEER_MESSAGE_BYTES) {
+            Ok(encoded)
+        } else {
+            Err(PeerMessageFault.BadSize)
+        }
+    }
+
+    /** The message in [bytes], or why it must be dropped. */
+    public fun decode(bytes: ByteArray): Result<PeerMessage, PeerMessageFault> {
+        if (bytes.size <= HMAC_BYTES + VERSION_BYTES || bytes.size > MAX_PEER_MESSAGE_BYTES) {
+            return Err(PeerMessageFault.BadSize)
+        }
+        val content = bytes.copyOfRange(HMAC_BYTES, bytes.size)
+        val authentic = MessageDigest.isEqual(hmac(content), bytes.copyOf(HMAC_BYTES))
+        return when {
+            !authentic -> Err(PeerMessageFault.NotAuthentic)
+            content[0] != PEER_MESSAGE_VERSION -> Err(PeerMessageFault.UnknownVersion)
+            else -> decodeBody(content.copyOfRange(VERSION_BYTES, content.size))
+        }
+    }
+
+    private fun decodeBody(body: ByteArray): Result<PeerMessage, PeerMessageFault> = try {
+        Ok(cbor.decodeFromByteArray(PeerWire.serializer(), body).toMessage())
+    } catch (_: SerializationException) {
+        Err(PeerMessageFault.Malformed)
+    } catch (_: IllegalArgumentException) {
+        Err(PeerMessageFault.Malformed)
+    }
+
+    private fun hmac(content: ByteArray): ByteArray =
+        Mac.getInstance(ALGORITHM).apply { init(keySpec) }.doFinal(content)
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerServer.kt
@@ -0,0 +1,90 @@
+package org.wisteriahinge.adapters.peer
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import java.io.Closeable
+import java.io.IOException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.ClosedReceiveChannelException
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.runtime.EffectSink
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Receives messages of other instances.
+ *
+ * A message is preceded by its length as a 32-bit number. [deliver] runs on a network thread and
+ * must not block. A connection that brings a faulty message is closed, because what follows on it
+ * cannot be trusted.
+ */
+public class PeerServer(
+    private val host: String,
+    private val port: Int,
+    private val codec: PeerCodec,
+    private val metrics: PeerMetrics,
+    private val deliver: EffectSink<PeerMessage>
+) : Closeable {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+
+    /** Starts listening and returns the port in use. */
+    public fun start(): Int {
+        val socket = runBlocking { aSocket(selector).tcp().bind(host, port) }
+        scope.launch { acceptAll(socket) }
+        return (socket.localAddress as InetSocketAddress).port
+    }
+
+    private suspend fun acceptAll(server: ServerSocket) {
+        while (true) {
+            val socket = server.accept()
+            receiveFrom(socket)
+        }
+    }
+
+    private fun receiveFrom(socket: Socket): Job = scope.launch {
+        socket.use {
+            try {
+                val input = socket.openReadChannel()
+                while (receive(input)) Unit
+            } catch (_: ClosedReceiveChannelException) {
+                logger.debug { "peer ${socket.remoteAddress} closed its connection" }
+            } catch (e: IOException) {
+                logger.debug(e) { "connection from peer ${socket.remoteAddress} broke" }
+            }
+        }
+    }
+
+    /** Reads one message; false when the connection is to be closed. */
+    private suspend fun receive(input: ByteReadChannel): Boolean {
+        val length = input.readInt()
+        if (length !in 1..MAX_PEER_MESSAGE_BYTES) {
+            metrics.dropped(PeerMessageFault.BadSize)
+            return false
+        }
+        val decoded = codec.decode(input.readByteArray(length))
+        decoded.onSuccess(deliver::perform).onFailure(metrics::dropped)
+        return decoded.isOk
+    }
+
+    override fun close() {
+        scope.cancel()
+        selector.close()
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerTransport.kt
@@ -0,0 +1,139 @@
+package org.wisteriahinge.adapters.peer
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import java.io.Closeable
+import java.io.IOException
+import java.time.Duration
+import java.util.concurrent.atomic.AtomicReference
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.wisteriahinge.core.membership.Members
+import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.runtime.PeerLink
+
+/** Messages that wait for one peer; more are dropped, because newer ones replace older ones. */
+private const val QUEUE_PER_PEER = 64
+private val CONNECT_TIMEOUT: Duration = Duration.ofSeconds(1)
+private val IDLE_TIMEOUT: Duration = Duration.ofSeconds(30)
+
+/**
+ * Sends messages to other instances, each over one connection that is opened on demand.
+ *
+ * Sending never blocks. A queue and its connection end after [IDLE_TIMEOUT] without messages.
+ */
+public class PeerTransport(private val codec: PeerCodec, private val metrics: PeerMetrics) :
+    PeerLink,
+    Closeable {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val members =
+        AtomicReference(Members(persistentSetOf(), persistentHashMapOf()))
+    private val queues =
+        AtomicReference<PersistentMap<Address, Channel<ByteArray>>>(persistentHashMapOf())
+
+    /** Takes over the addresses of [next]. */
+    public fun update(next: Members) {
+        members.set(next)
+    }
+
+    override fun send(to: InstanceId, message: PeerMessage) {
+        val address = members.get().addresses[to]
+        if (address == null) metrics.unsent(UnsentCause.UnknownPeer) else send(address, message)
+    }
+
+    override fun broadcast(message: PeerMessage) {
+        sendAll(members.get().addresses.values, message)
+    }
+
+    /** Sends [message] to [address]. */
+    public fun send(address: Address, message: PeerMessage) {
+        sendAll(listOf(address), message)
+    }
+
+    /** Encodes [message] once and sends it to each of [addresses]. */
+    public fun sendAll(addresses: Collection<Address>, message: PeerMessage) {
+        codec.encode(message)
+            .onSuccess { bytes -> addresses.forEach { enqueue(it, bytes) } }
+            .onFailure { metrics.unsent(UnsentCause.TooLarge) }
+    }
+
+    private fun enqueue(address: Address, bytes: ByteArray) {
+        val sent = queueFor(address).trySend(bytes)
+        if (sent.isFailure) metrics.unsent(UnsentCause.QueueFull)
+    }
+
+    private fun queueFor(address: Address): Channel<ByteArray> {
+        queues.get()[address]?.let { return it }
+        val created = Channel<ByteArray>(QUEUE_PER_PEER)
+        val current = queues.updateAndGet { all ->
+            if (address in all) all else all.put(address, created)
+        }
+        val queue = current.getValue(address)
+        if (queue === created) scope.launch { drain(address, created) }
+        return queue
+    }
+
+    private suspend fun drain(address: Address, queue: Channel<ByteArray>) {
+        try {
+            while (true) {
+                val first = nextMessage(queue) ?: return
+                sendOverConnection(address, first, queue)
+            }
+        } finally {
+            queues.updateAndGet { if (it[address] === queue) it.remove(address) else it }
+            queue.close()
+        }
+    }
+
+    private suspend fun nextMessage(queue: Channel<ByteArray>): ByteArray? =
+        withTimeoutOrNull(IDLE_TIMEOUT.toMillis()) { queue.receive() }
+
+    /** Sends [first] and what follows until the connection breaks or nothing more comes. */
+    private suspend fun sendOverConnection(
+        address: Address,
+        first: ByteArray,
+        queue: Channel<ByteArray>
+    ) {
+        try {
+            val socket = withTimeoutOrNull(CONNECT_TIMEOUT.toMillis()) {
+                aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
+            } ?: return metrics.unsent(UnsentCause.ConnectionFailed)
+            socket.use {
+                val output = socket.openWriteChannel()
+                write(output, first)
+                while (true) write(output, nextMessage(queue) ?: return)
+            }
+        } catch (_: IOException) {
+            metrics.unsent(UnsentCause.ConnectionFailed)
+        }
+    }
+
+    private suspend fun write(output: ByteWriteChannel, bytes: ByteArray) {
+        output.writeInt(bytes.size)
+        output.writeByteArray(bytes)
+        output.flush()
+        metrics.sent(Int.SIZE_BYTES + bytes.size)
+    }
+
+    override fun close() {
+        scope.cancel()
+        selector.close()
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInInstanceList.kt
@@ -0,0 +1,54 @@
+package org.wisteriahinge.bench.standin
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.call
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import java.io.Closeable
+import java.util.concurrent.atomic.AtomicReference
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import org.wisteriahinge.adapters.instances.WireInstance
+
+/** The platform's instance list for tests and measurements; it shows what it is told, or fails. */
+public class StandInInstanceList : Closeable {
+    private val listed = AtomicReference<PersistentList<WireInstance>?>(persistentListOf())
+    private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
+        routing {
+            get("/instances") {
+                val instances = listed.get()
+                if (instances == null) {
+                    call.respondText("down\n", status = HttpStatusCode.ServiceUnavailable)
+                } else {
+                    call.respondText(Json.encodeToString(instances), ContentType.Application.Json)
+                }
+            }
+        }
+    }
+
+    /** Starts listening and returns the port. */
+    public fun start(): Int {
+        server.start(wait = false)
+        return runBlocking { server.engine.resolvedConnectors().first().port }
+    }
+
+    /** Shows [instances] from now on. */
+    public fun show(instances: PersistentList<WireInstance>) {
+        listed.set(instances)
+    }
+
+    /** Answers 503 from now on. */
+    public fun fail() {
+        listed.set(null)
+    }
+
+    override fun close() {
+        server.stop(gracePeriodMillis = 0, timeoutMillis = 500)
+    }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/membership/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.OperationRef
@@ -15,9 +16,15 @@
     /** The sender. */
     public val from: InstanceId
 
-    /** Sent every second: the sender is here, and what it knows in brief. */
+    /**
+     * Sent periodically: the sender is here, and what it knows in brief.
+     *
+     * [address] receives peer messages, so that a peer which the instance list does not show yet
+     * can be answered. [sequence] grows with each period of the sender.
+     */
     public data class Heartbeat(
         override val from: InstanceId,
+        val address: Address,
         val zone: Zone,
         val sequence: Long,
         val phase: PeerPhase,
--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/MembershipDuty.kt
@@ -0,0 +1,36 @@
+package org.wisteriahinge.runtime
+
+import java.time.Clock
+import java.time.Duration
+import java.time.Instant
+import org.wisteriahinge.core.membership.MembershipEffect
+import org.wisteriahinge.core.membership.MembershipEvent
+import org.wisteriahinge.core.membership.MembershipState
+import org.wisteriahinge.core.membership.decide
+
+/** Owns [MembershipState] and paces the heartbeats. */
+public class MembershipDuty(
+    private val inbox: Ring<MembershipEvent>,
+    private var state: MembershipState,
+    private val effects: EffectSink<MembershipEffect>,
+    private val clock: Clock
+) : Duty("membership") {
+    private var nextTickAt: Instant = clock.instant()
+
+    override fun runOnce() {
+        val wait = Duration.between(clock.instant(), nextTickAt)
+        val event = if (wait.isNegative || wait.isZero) null else inbox.take(wait)
+        decide(event ?: nextTick())
+    }
+
+    private fun nextTick(): MembershipEvent {
+        nextTickAt = clock.instant().plus(state.settings.period)
+        return MembershipEvent.Ticked
+    }
+
+    private fun decide(event: MembershipEvent) {
+        val decision = state.decide(event, clock.instant())
+        state = decision.state
+        decision.effects.forEach(effects::perform)
+    }
+}
