--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerCodec.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerCodec.kt
@@ -43,8 +43,8 @@
 /**
  * Encodes and authenticates messages between instances.
  *
- * A message is the first half of its HMAC-SHA-256 (16 bytes), its version (1 byte) and its CBOR; the HMAC covers
- * version and CBOR.
+ * A message is the first half of its HMAC-SHA-256 (16 bytes), its version (1 byte) and its
+ * CBOR; the HMAC covers version and CBOR.
  */
 public class PeerCodec(key: ByteArray) {
     private val keySpec = SecretKeySpec(key, ALGORITHM)
