--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -1,15 +1,34 @@
 package org.wisteriahinge.bench
 
 import kotlin.system.exitProcess
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import org.wisteriahinge.bench.policy.SCENARIOS
+import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.runPolicies
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
 public fun main(args: Array<String>) {
-    when (args.firstOrNull()) {
-        "demo" -> Demo().use { it.run() }
-        else -> {
-            System.err.println("usage: bench demo")
-            exitProcess(2)
-        }
+    val parser = ArgParser("bench")
+    val name by parser.argument(ArgType.String, description = "demo or the name of a scenario")
+    val seed by parser.option(ArgType.Int, "seed", description = "Seed of the run").default(1)
+    parser.parse(args)
+    val scenario = SCENARIOS.firstOrNull { it.name == name }
+    when {
+        name == "demo" -> Demo().use { it.run() }
+        scenario != null -> printRun(scenario, seed.toLong())
+        else -> refuse(name)
     }
     exitProcess(0)
 }
+
+private fun printRun(scenario: Scenario, seed: Long) {
+    println(runPolicies(scenario, seed))
+}
+
+private fun refuse(name: String): Nothing {
+    val known = SCENARIOS.joinToString { it.name }
+    System.err.println("unknown scenario $name; expected demo or one of: $known")
+    exitProcess(2)
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/PolicyBench.kt
@@ -0,0 +1,29 @@
+package org.wisteriahinge.bench.policy
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+
+/** Runs every policy on [scenario] and returns the object that the design page describes. */
+internal fun runPolicies(scenario: Scenario, seed: Long): JsonObject = buildJsonObject {
+    put("scenario", scenario.name)
+    put("seed", seed)
+    putJsonObject("policies") {
+        POLICIES.forEach { policy ->
+            put(policy.name, figures(Simulation(scenario, policy, seed).run()))
+        }
+    }
+}
+
+private fun figures(result: RunResult): JsonObject = buildJsonObject {
+    val latencies = latencies(result.measured())
+    put("p50_ms", latencies.millisAt(50.0))
+    put("p99_ms", latencies.millisAt(99.0))
+    put("p999_ms", latencies.millisAt(99.9))
+    put("goodput_ratio", result.goodputRatio())
+    put("refused_ratio", result.refusedRatio())
+    put("probe_load_ratio", result.probeLoadRatio())
+    put("retry_ratio", result.retryRatio())
+    result.scenario.extraFields(result).forEach { (name, value) -> put(name, value) }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -0,0 +1,79 @@
+package org.wisteriahinge.bench.policy
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import org.HdrHistogram.Histogram
+
+/** How a request ended. */
+internal sealed interface Ending {
+    /** Answered by a target with [status]. */
+    data class Answered(val status: Int) : Ending
+
+    /** Refused by the load balancer. */
+    data object Refused : Ending
+}
+
+/** A request and its end. */
+internal data class Outcome(val request: SimRequest, val endedAtMicros: Long, val ending: Ending) {
+    val latencyMicros: Long get() = endedAtMicros - request.atMicros
+
+    fun good(deadlineMillis: Long): Boolean = ending is Ending.Answered && ending.status < 500 &&
+        latencyMicros <= deadlineMillis * MICROS_PER_MILLI
+}
+
+/** What a run recorded. [probes] counts probes by target and second. */
+internal data class RunResult(
+    val scenario: Scenario,
+    val outcomes: PersistentList<Outcome> = persistentListOf(),
+    val attempts: Int = 0,
+    val retries: Int = 0,
+    val probes: PersistentMap<ProbeCell, Int> = persistentHashMapOf(),
+    val startedAfterBound: Int = 0,
+    val cutOff: Int = 0,
+    val crashes: PersistentMap<Long, Int> = persistentHashMapOf()
+)
+
+/** A target and a whole second of the run. */
+internal data class ProbeCell(val target: Int, val second: Long)
+
+private const val MAX_LATENCY_MICROS = 600_000_000L
+private const val SIGNIFICANT_DIGITS = 3
+
+internal fun RunResult.measured(): List<Outcome> =
+    outcomes.filter { it.request.atMicros >= scenario.warmupMillis * MICROS_PER_MILLI }
+
+/** Latencies of the answers among [among], in microseconds. */
+internal fun latencies(among: List<Outcome>): Histogram {
+    val histogram = Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS)
+    among.filter { it.ending is Ending.Answered }.forEach {
+        histogram.recordValue(it.latencyMicros.coerceAtMost(MAX_LATENCY_MICROS))
+    }
+    return histogram
+}
+
+internal fun Histogram.millisAt(percentile: Double): Double =
+    getValueAtPercentile(percentile) / MICROS_PER_MILLI.toDouble()
+
+/** Requests answered well over those that full capacity could have answered. */
+internal fun RunResult.goodputRatio(): Double {
+    val among = measured()
+    val seconds = (scenario.durationMillis - scenario.warmupMillis) / 1_000.0
+    val possible = minOf(among.size.toDouble(), scenario.capacityPerSecond * seconds)
+    return among.count { it.good(scenario.deadlineMillis) } / possible
+}
+
+internal fun RunResult.refusedRatio(): Double = measured().let { among ->
+    among.count { it.ending is Ending.Refused }.toDouble() / among.size
+}
+
+/** Probes over the requests that all targets could serve; a probe is counted as a request. */
+internal fun RunResult.probeLoadRatio(): Double =
+    probes.values.sum() / (scenario.capacityPerSecond * scenario.durationMillis / 1_000)
+
+/** The highest ratio of probes to capacity of any target in any whole second. */
+internal fun RunResult.probeLoadRatioMaxSecond(): Double =
+    (probes.values.maxOrNull() ?: 0) * scenario.targets / scenario.capacityPerSecond
+
+internal fun RunResult.retryRatio(): Double = retries.toDouble() / maxOf(1, outcomes.size)
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -0,0 +1,302 @@
+package org.wisteriahinge.bench.policy
+
+import java.time.Instant
+import kotlin.random.Random
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.call.AttemptFailure
+import org.wisteriahinge.core.call.CallEffect
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.call.decide
+import org.wisteriahinge.core.model.AttemptId
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.routing.RoutingState
+
+private const val NOISE_SEED = 0x5EEDL
+
+/** The bound of invariant I5 on requests that start at a target that leaves. */
+private const val LEAVING_BOUND_MICROS = 3_000_000L
+
+/** Runs [scenario] once with [policy]; the same seed gives the same run. */
+internal class Simulation(
+    private val scenario: Scenario,
+    private val policy: BenchPolicy,
+    private val seed: Long
+) {
+    private val noiseRandom = Random(seed xor NOISE_SEED)
+    private val requests = scenario.requests(seed)
+    private var nowMicros = 0L
+    private var sequence = 0L
+    private var events: EventHeap<SimEvent> = EventHeap.Empty
+    private var result = RunResult(scenario)
+    private var placed: PersistentMap<AttemptKey, Int> = persistentHashMapOf()
+    private var unlisted: PersistentSet<Int> = persistentSetOf()
+    private var onTheWay: PersistentList<Int> = List(scenario.targets) { 0 }.toPersistentList()
+    private var targets = List(scenario.targets) {
+        val reportMicros = scenario.reportMillis * MICROS_PER_MILLI
+        SimTarget(it, scenario.slots, scenario.queueLimit, reportMicros)
+    }.toPersistentList()
+    private var instances: PersistentList<CallsState> = when (policy) {
+        is BenchPolicy.Decided -> List(scenario.instances) { initialState(it, policy) }
+        BenchPolicy.Ideal -> emptyList()
+    }.toPersistentList()
+
+    private fun initialState(index: Int, decided: BenchPolicy.Decided): CallsState {
+        val zone = zoneOf(index, scenario.zones)
+        val routing = RoutingState(decided.policy, zone, seed * scenario.instances + index)
+        val state = CallsState(Configuration.Empty, routing)
+        return state.decide(CallEvent.Configured(scenario.configuration(1)), instant()).state
+    }
+
+    /** Simulates every request up to its end. */
+    fun run(): RunResult {
+        requests.forEach { schedule(it.atMicros, SimEvent.Arrive(it)) }
+        scenario.changes.forEach {
+            schedule(it.atMillis * MICROS_PER_MILLI, SimEvent.Change(it.target, it.change))
+        }
+        instances.indices.forEach {
+            schedule(tickMicros() * it / instances.size, SimEvent.Tick(it))
+        }
+        if (scenario.noise != null) targets.forEach { schedule(0, SimEvent.DrawSpeed(it.index)) }
+        generateSequence(::step).count()
+        return result
+    }
+
+    private fun instant(): Instant = Instant.EPOCH.plusNanos(nowMicros * 1_000)
+
+    private fun tickMicros() = scenario.tickMillis * MICROS_PER_MILLI
+
+    private fun endMicros() =
+        (scenario.durationMillis + 2 * scenario.deadlineMillis) * MICROS_PER_MILLI
+
+    private fun schedule(atMicros: Long, event: SimEvent) {
+        sequence += 1
+        events = events.add(atMicros, sequence, event)
+    }
+
+    /** Handles the next event; null when none is left or every deadline has passed. */
+    private fun step(): SimEvent? = when (val next = events) {
+        EventHeap.Empty -> null
+        is EventHeap.Node -> {
+            events = next.rest()
+            nowMicros = next.atMicros
+            handle(next.value)
+            next.value.takeIf { nowMicros < endMicros() }
+        }
+    }
+
+    private fun handle(event: SimEvent) = when (event) {
+        is SimEvent.Arrive -> arrive(event.request)
+        is SimEvent.ReachTarget -> reachTarget(event.target, event.attempt)
+        is SimEvent.ServiceEnd -> serviceEnd(event)
+        is SimEvent.CancelAtTarget ->
+            update(targets[event.target].remove(event.key, nowMicros))
+        is SimEvent.ToInstance -> toInstance(event.instance, event.event)
+        is SimEvent.Deadline -> deadline(event)
+        is SimEvent.Tick -> {
+            toInstance(event.instance, CallEvent.Ticked)
+            schedule(nowMicros + tickMicros(), event)
+        }
+        is SimEvent.Change -> change(targets[event.target], event.change)
+        is SimEvent.DrawSpeed -> drawSpeed(event)
+    }
+
+    private fun arrive(request: SimRequest) = when (policy) {
+        is BenchPolicy.Decided -> {
+            val call = scenario.callRequest(request, instant())
+            toInstance(request.instance, CallEvent.Arrived(call))
+        }
+        BenchPolicy.Ideal -> arriveIdeal(request)
+    }
+
+    private fun arriveIdeal(request: SimRequest) {
+        val target = targets.filter { it.servesWell() && it.index !in unlisted }.minByOrNull {
+            scenario.idealCost(it, onTheWay[it.index], delay(request.instance, it.index))
+        }
+        if (target == null) return ended(request, Ending.Refused)
+        send(request, AttemptId(request.id), target.index)
+    }
+
+    private fun toInstance(instance: Int, event: CallEvent) = when (policy) {
+        is BenchPolicy.Decided -> {
+            val decision = instances[instance].decide(event, instant())
+            instances = instances.set(instance, decision.state)
+            decision.effects.forEach { perform(instance, it, event) }
+        }
+        BenchPolicy.Ideal -> endIdeal(event)
+    }
+
+    private fun endIdeal(event: CallEvent) {
+        when (event) {
+            is CallEvent.Answered ->
+                ended(requestOf(event.callId), Ending.Answered(event.status))
+            is CallEvent.AttemptFailed -> ended(requestOf(event.callId), Ending.Refused)
+            else -> Unit
+        }
+    }
+
+    private fun requestOf(callId: CallId): SimRequest = requests[(callId.value - 1).toInt()]
+
+    private fun perform(instance: Int, effect: CallEffect, cause: CallEvent) {
+        when (effect) {
+            is CallEffect.Forward -> forward(effect)
+            is CallEffect.Deliver -> {
+                val status = (cause as CallEvent.Answered).status
+                ended(requestOf(effect.callId), Ending.Answered(status))
+                toInstance(instance, CallEvent.Completed(effect.callId, effect.attemptId))
+            }
+            is CallEffect.Refuse -> ended(requestOf(effect.callId), Ending.Refused)
+            is CallEffect.CancelAttempt -> cancel(AttemptKey(instance, effect.attemptId))
+            is CallEffect.Finished, is CallEffect.Count -> Unit
+        }
+    }
+
+    private fun forward(effect: CallEffect.Forward) {
+        val isRetry = effect.attempt.number > 1
+        result = result.copy(retries = result.retries + if (isRetry) 1 else 0)
+        send(requestOf(effect.callId), effect.attempt.id, targetIndex(effect.attempt.target.id))
+    }
+
+    private fun send(request: SimRequest, attempt: AttemptId, target: Int) {
+        val key = AttemptKey(request.instance, attempt)
+        val sent = SimAttempt(request, key, request.workMicros)
+        placed = placed.put(key, target)
+        onTheWay = onTheWay.set(target, onTheWay[target] + 1)
+        result = result.copy(attempts = result.attempts + 1)
+        schedule(nowMicros + delay(request.instance, target), SimEvent.ReachTarget(target, sent))
+        val deadline = request.atMicros + scenario.deadlineMillis * MICROS_PER_MILLI
+        schedule(deadline, SimEvent.Deadline(CallId(request.id), key))
+    }
+
+    private fun cancel(key: AttemptKey) {
+        val target = placed[key] ?: return
+        placed = placed.remove(key)
+        schedule(nowMicros + delay(key.instance, target), SimEvent.CancelAtTarget(target, key))
+    }
+
+    private fun deadline(event: SimEvent.Deadline) {
+        if (event.key !in placed) return
+        cancel(event.key)
+        toInstance(event.key.instance, failure(event.callId, event.key, AttemptFailure.TimedOut))
+    }
+
+    private fun failure(callId: CallId, key: AttemptKey, cause: AttemptFailure) =
+        CallEvent.AttemptFailed(callId, key.attempt, cause, replayable = true)
+
+    private fun ended(request: SimRequest, ending: Ending) {
+        val outcome = Outcome(request, nowMicros, ending)
+        result = result.copy(outcomes = result.outcomes.add(outcome))
+    }
+
+    private fun delay(instance: Int, target: Int): Long =
+        networkMicros(instance % scenario.zones, target % scenario.zones)
+
+    private fun reachTarget(index: Int, attempt: SimAttempt) {
+        val target = targets[index]
+        onTheWay = onTheWay.set(index, onTheWay[index] - 1)
+        when {
+            attempt.key !in placed -> Unit
+            target.crashed -> fail(target, attempt, AttemptFailure.ConnectFailed)
+            target.draining == Announcement.Refusing ->
+                fail(target, attempt, AttemptFailure.TargetDraining)
+            target.full -> fail(target, attempt, AttemptFailure.Shed)
+            else -> accept(target, attempt)
+        }
+    }
+
+    private fun accept(target: SimTarget, attempt: SimAttempt) {
+        val late = target.draining != null &&
+            nowMicros - target.drainingSinceMicros > LEAVING_BOUND_MICROS
+        if (late) result = result.copy(startedAfterBound = result.startedAfterBound + 1)
+        val work = if (target.failFast) attempt.workMicros / 10 else attempt.workMicros
+        update(target.accept(attempt.copy(workMicros = work), nowMicros))
+    }
+
+    private fun fail(target: SimTarget, attempt: SimAttempt, cause: AttemptFailure) {
+        val event = failure(CallId(attempt.request.id), attempt.key, cause)
+        reply(target, attempt, event.copy(load = reportOf(target).takeIf { !target.crashed }))
+    }
+
+    private fun reply(target: SimTarget, attempt: SimAttempt, event: CallEvent) {
+        placed = placed.remove(attempt.key)
+        val at = nowMicros + delay(attempt.key.instance, target.index)
+        schedule(at, SimEvent.ToInstance(attempt.key.instance, event))
+    }
+
+    private fun reportOf(target: SimTarget): LoadReport {
+        val inFlight = if (target.misreporting) 0 else target.report.inFlight
+        return LoadReport(inFlight, target.slots, instant())
+    }
+
+    private fun update(changed: SimTarget) {
+        targets = targets.set(changed.index, changed)
+        val next = changed.nextToEnd() ?: return
+        val at = nowMicros + changed.microsLeft(next)
+        schedule(at, SimEvent.ServiceEnd(changed.index, changed.version))
+    }
+
+    private fun serviceEnd(event: SimEvent.ServiceEnd) {
+        val target = targets[event.target]
+        if (target.version != event.version) return
+        val done = target.nextToEnd() ?: return
+        val failing = target.failFast || drawFailure(done)
+        val status = if (failing) 500 else 200
+        val callId = CallId(done.request.id)
+        val after = target.remove(done.key, nowMicros)
+        reply(after, done, CallEvent.Answered(callId, done.key.attempt, status, reportOf(after)))
+        update(after)
+    }
+
+    private fun drawFailure(attempt: SimAttempt): Boolean {
+        val draw = Random(seed xor attempt.request.id * 31 + attempt.key.attempt.value)
+        return draw.nextDouble() < scenario.failingAttemptRatio
+    }
+
+    private fun change(target: SimTarget, change: TargetChange) = when (change) {
+        is TargetChange.Speed -> update(target.atSpeed(change.factor, nowMicros))
+        is TargetChange.FailFast -> update(target.copy(failFast = change.failing))
+        is TargetChange.Misreport -> update(target.copy(misreporting = change.misreporting))
+        is TargetChange.Drain -> drain(target, change.announcement)
+        is TargetChange.Crash -> crash(target, change)
+        TargetChange.Return -> update(target.copy(crashed = false))
+    }
+
+    private fun drain(target: SimTarget, announcement: Announcement) {
+        update(target.copy(draining = announcement, drainingSinceMicros = nowMicros))
+        if (announcement != Announcement.Unlisted) return
+        unlisted = unlisted.add(target.index)
+        val lists = scenario.configuration(1L + unlisted.size, unlisted)
+        instances.indices.forEach { toInstance(it, CallEvent.Configured(lists)) }
+    }
+
+    private fun crash(target: SimTarget, change: TargetChange.Crash) {
+        val lost = target.running.addAll(target.queue)
+        result = result.copy(cutOff = result.cutOff + lost.size)
+        val empty = target.copy(
+            running = persistentListOf(),
+            queue = persistentListOf(),
+            version = target.version + 1,
+            crashed = true
+        )
+        update(empty)
+        lost.forEach { fail(empty, it, AttemptFailure.Disconnected) }
+        val back = nowMicros + change.downMillis * MICROS_PER_MILLI
+        schedule(back, SimEvent.Change(target.index, TargetChange.Return))
+    }
+
+    private fun drawSpeed(event: SimEvent.DrawSpeed) {
+        val noise = scenario.noise ?: return
+        val speed = noiseRandom.nextDouble(noise.low, noise.high)
+        val micros = noiseRandom.nextDouble(noise.minMillis, noise.maxMillis) * MICROS_PER_MILLI
+        update(targets[event.target].atSpeed(speed, nowMicros))
+        schedule(nowMicros + micros.toLong(), event)
+    }
+}
