--- /dev/null
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/ChartMarkdown.kt
@@ -0,0 +1,20 @@
+package org.wisteriahinge.charts
+
+/** The chart as a Markdown section: a state diagram and a table of its transitions. */
+public fun Chart<*, *, *>.toMarkdown(): String {
+    val rows = rows()
+    val edges = rows.map {
+        "    ${it.state.chartName} --> ${it.step.state.chartName}: ${it.event.chartName}"
+    }
+    val ends = finalStates.map { "    ${it.chartName} --> [*]" }
+    val diagram = listOf("```mermaid", "stateDiagram-v2", "    [*] --> ${initial.chartName}") +
+        edges + ends + "```"
+    val table = listOf("| state | event | next state | effects |", "| --- | --- | --- | --- |") +
+        rows.map { it.toTableRow() }
+    return (listOf("## $name", "") + diagram + "" + table + "").joinToString("\n")
+}
+
+private fun ChartRow<*, *, *>.toTableRow(): String {
+    val effects = step.effects.joinToString { it.chartName }
+    return "| ${state.chartName} | ${event.chartName} | ${step.state.chartName} | $effects |"
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -0,0 +1,19 @@
+package org.wisteriahinge.core
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.charts.Chart
+import org.wisteriahinge.charts.InvalidChartException
+import org.wisteriahinge.core.call.attemptChart
+import org.wisteriahinge.core.membership.peerChart
+
+/** Every chart that the decisions interpret. */
+public object ChartCatalog {
+    /**
+     * Loads and validates all charts.
+     *
+     * @throws InvalidChartException if a chart file is missing or has a fault; called at startup,
+     * so that a broken file stops the process before it serves callers.
+     */
+    public fun loadAll(): PersistentList<Chart<*, *, *>> = persistentListOf(attemptChart, peerChart)
+}
