Decide on revisions by a chart and keep them through lost and rebuilt logs

Answers 5xx of the log other than 503 count as an unknown outcome, because the append may have happened. Conclusion: the revision in force only grows, and a loser of a race that was read after lost records is not accepted.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
@@ -12,6 +12,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.DeserializationStrategy
+import org.wisteriahinge.core.configuration.ListTexts
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.RevisionNumber
 
@@ -21,9 +22,6 @@
 /** File name of the list of what each plan may use, used in faults. */
 public const val ENTITLEMENTS_FILE: String = "entitlements.yaml"
 
-/** The text of the operators' two lists. */
-public data class ListTexts(val customers: String, val entitlements: String)
-
 private val yaml = Yaml(configuration = YamlConfiguration(strictMode = true))
 
 /** Reads both lists as revision [revision], or returns their faults. */
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/HttpPlatformLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/HttpPlatformLog.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.map
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -18,10 +19,12 @@
 import java.io.Closeable
 import java.io.IOException
 import java.net.ConnectException
+import java.nio.channels.UnresolvedAddressException
 import java.time.Duration
 import java.util.Base64
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -67,7 +70,7 @@
                 header(APPEND_ID_HEADER, appendId)
                 setBody(Json.encodeToString(encoded))
             }
-        }.map { Json.decodeFromString<WireAppended>(it).offset }
+        }.flatMap { text -> parse<WireAppended>(text) }.map { it.offset }
     }
 
     override fun read(
@@ -81,11 +84,8 @@
             client.get("$baseUrl/streams/${stream.wireName}?$query") {
                 timeout { requestTimeoutMillis = limitMillis }
             }
-        }.map { text ->
-            Json.decodeFromString<List<WireRecord>>(text)
-                .map { LogRecord(it.offset, Base64.getDecoder().decode(it.payload)) }
-                .toPersistentList()
-        }
+        }.flatMap { text -> parse<List<WireRecord>>(text) }
+            .map { records -> records.map(::decode).toPersistentList() }
     }
 
     override fun bounds(stream: LogStream): Result<LogBounds, LogFailure> =
@@ -93,9 +93,7 @@
             client.get("$baseUrl/streams/${stream.wireName}/bounds") {
                 timeout { requestTimeoutMillis = limitMillis }
             }
-        }.map { text ->
-            Json.decodeFromString<WireBounds>(text).let { LogBounds(it.earliest, it.next) }
-        }
+        }.flatMap { text -> parse<WireBounds>(text) }.map { LogBounds(it.earliest, it.next) }
 
     private fun exchange(
         extra: Duration,
@@ -106,18 +104,37 @@
             resultOf(answer.status, answer.bodyAsText())
         } catch (e: ConnectException) {
             Err(LogFailure.Unavailable(e.message ?: "connection refused"))
+        } catch (_: UnresolvedAddressException) {
+            Err(LogFailure.Unavailable("the host of $baseUrl is unknown"))
         } catch (e: IOException) {
             Err(LogFailure.OutcomeUnknown(e.message ?: e.javaClass.simpleName))
+        } catch (e: ClosedReceiveChannelException) {
+            Err(LogFailure.OutcomeUnknown(e.message ?: "connection closed"))
         }
     }
 
-    private fun resultOf(status: HttpStatusCode, body: String): Result<String, LogFailure> =
-        when (status) {
-            HttpStatusCode.OK -> Ok(body)
-            HttpStatusCode.Gone ->
-                Err(LogFailure.Expired(Json.decodeFromString<WireBounds>(body).earliest))
-            else -> Err(LogFailure.Unavailable("status ${status.value}"))
-        }
+    /** Of the failures, only 503 and the 4xx statuses state that nothing was done. */
+    private fun resultOf(status: HttpStatusCode, body: String): Result<String, LogFailure> = when {
+        status == HttpStatusCode.OK -> Ok(body)
+        status == HttpStatusCode.Gone ->
+            parse<WireBounds>(body).flatMap { Err(LogFailure.Expired(it.earliest)) }
+        status == HttpStatusCode.ServiceUnavailable || status.value in 400..499 ->
+            Err(LogFailure.Unavailable("status ${status.value}"))
+        else -> Err(LogFailure.OutcomeUnknown("status ${status.value}"))
+    }
+
+    private inline fun <reified T> parse(text: String): Result<T, LogFailure> = try {
+        Ok(Json.decodeFromString<T>(text))
+    } catch (_: IllegalArgumentException) {
+        Err(LogFailure.OutcomeUnknown("the answer is not in the expected form"))
+    }
+
+    /** A payload that is not base64 stays as an empty record, so that no offset is missing. */
+    private fun decode(wire: WireRecord): LogRecord = try {
+        LogRecord(wire.offset, Base64.getDecoder().decode(wire.payload))
+    } catch (_: IllegalArgumentException) {
+        LogRecord(wire.offset, ByteArray(0))
+    }
 
     override fun close() {
         client.close()
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/RevisionCodec.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/RevisionCodec.kt
@@ -2,15 +2,14 @@
 
 package org.wisteriahinge.adapters.log
 
-import com.github.michaelbull.result.get
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import org.wisteriahinge.adapters.lists.ListTexts
-import org.wisteriahinge.adapters.lists.readLists
+import org.wisteriahinge.core.configuration.ConfigurationRecord
+import org.wisteriahinge.core.configuration.ListTexts
 import org.wisteriahinge.core.configuration.PublishedRevision
 import org.wisteriahinge.core.model.RevisionNumber
 import org.wisteriahinge.runtime.LogRecord
@@ -33,23 +32,23 @@
     /** The record as CBOR. */
     public fun encode(record: RevisionRecord): ByteArray = Cbor.encodeToByteArray(record)
 
-    /** The revision in [record]; null when the record is not one that this code reads. */
-    public fun decode(record: LogRecord): PublishedRevision? {
-        val decoded = decodeRecord(record.payload) ?: return null
-        val replaces = RevisionNumber(decoded.replaces)
-        val texts = ListTexts(decoded.customers, decoded.entitlements)
-        return PublishedRevision(
-            offset = record.offset,
-            publicationId = decoded.publicationId,
-            replaces = replaces,
-            configuration = readLists(texts, RevisionNumber(replaces.value + 1)).get()
-        )
-    }
+    /** The content of [record]; without a revision when this code does not read it. */
+    public fun decode(record: LogRecord): ConfigurationRecord = ConfigurationRecord(
+        record.offset,
+        decodeRecord(record.payload)?.let {
+            PublishedRevision(
+                offset = record.offset,
+                publicationId = it.publicationId,
+                replaces = RevisionNumber(it.replaces),
+                lists = ListTexts(it.customers, it.entitlements)
+            )
+        }
+    )
 
     /** The record in [payload]; null when it is malformed or of another version. */
     public fun decodeRecord(payload: ByteArray): RevisionRecord? = try {
         Cbor.decodeFromByteArray<RevisionRecord>(payload)
-            .takeIf { it.version == REVISION_RECORD_VERSION }
+            .takeIf { it.version == REVISION_RECORD_VERSION && it.replaces >= 0 }
     } catch (_: SerializationException) {
         null
     } catch (_: IllegalArgumentException) {
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/SnapshotCodec.kt
@@ -0,0 +1,64 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.wisteriahinge.adapters.log
+
+import java.time.Instant
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.wisteriahinge.core.configuration.ListTexts
+import org.wisteriahinge.core.configuration.RevisionBase
+import org.wisteriahinge.core.configuration.SnapshotRecord
+import org.wisteriahinge.core.model.RevisionNumber
+import org.wisteriahinge.runtime.LogRecord
+
+private const val SNAPSHOT_RECORD_VERSION = 1
+
+@Serializable
+private data class SnapshotWire(
+    val version: Int,
+    val number: Long,
+    val configurationOffset: Long,
+    val writtenAtEpochMillis: Long,
+    val customers: String,
+    val entitlements: String
+)
+
+/** Encodes and decodes records of the stream `configuration-snapshot`. */
+public object SnapshotCodec {
+    /** A snapshot of [base] as CBOR. */
+    public fun encode(base: RevisionBase, writtenAt: Instant): ByteArray = Cbor.encodeToByteArray(
+        SnapshotWire(
+            version = SNAPSHOT_RECORD_VERSION,
+            number = base.revision.value,
+            configurationOffset = base.nextOffset,
+            writtenAtEpochMillis = writtenAt.toEpochMilli(),
+            customers = base.lists.customers,
+            entitlements = base.lists.entitlements
+        )
+    )
+
+    /** The snapshot in [record]; null when it is malformed or of another version. */
+    public fun decode(record: LogRecord): SnapshotRecord? = try {
+        Cbor.decodeFromByteArray<SnapshotWire>(record.payload)
+            .takeIf { it.version == SNAPSHOT_RECORD_VERSION }
+            ?.toSnapshot(record.offset)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
+
+    private fun SnapshotWire.toSnapshot(streamOffset: Long) = SnapshotRecord(
+        streamOffset = streamOffset,
+        writtenAt = Instant.ofEpochMilli(writtenAtEpochMillis),
+        base = RevisionBase(
+            RevisionNumber(number),
+            configurationOffset,
+            ListTexts(customers, entitlements)
+        )
+    )
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/ConfigurationMetrics.kt
@@ -0,0 +1,62 @@
+package org.wisteriahinge.adapters.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.wisteriahinge.core.configuration.ConfigurationCounter
+import org.wisteriahinge.core.configuration.ConfigurationStanding
+import org.wisteriahinge.core.configuration.ConfigurationStatus
+
+/** Prometheus metrics of the configuration. */
+public class ConfigurationMetrics(registry: PrometheusRegistry) {
+    private val decisions = Counter.builder()
+        .name("wisteriahinge_configuration_total")
+        .help("Decisions on the configuration, by outcome")
+        .labelNames("outcome")
+        .register(registry)
+    private val revision =
+        gauge(registry, "wisteriahinge_configuration_revision", "Revision in force")
+    private val newestKnown = gauge(
+        registry,
+        "wisteriahinge_configuration_newest_known",
+        "Newest revision that this instance or a peer has"
+    )
+    private val unconfirmed = gauge(
+        registry,
+        "wisteriahinge_configuration_unconfirmed",
+        "1 while neither the log nor a peer confirms the revision in force"
+    )
+    private val dropped = Counter.builder()
+        .name("wisteriahinge_configuration_messages_dropped_total")
+        .help("Messages of peers dropped because the ring of the configuration duty was full")
+        .register(registry)
+
+    init {
+        ConfigurationCounter.all.forEach { decisions.initLabelValues(it.wireName) }
+    }
+
+    /** Adds one to the metric of [counter]. */
+    public fun count(counter: ConfigurationCounter) {
+        decisions.labelValues(counter.wireName).inc()
+    }
+
+    /** Adds one message of a peer that found the ring full. */
+    public fun messageDropped() {
+        dropped.inc()
+    }
+
+    /** Shows [status]. */
+    public fun report(status: ConfigurationStatus) {
+        revision.set(status.revision.value.toDouble())
+        newestKnown.set(status.newestKnown.value.toDouble())
+        unconfirmed.set(
+            when (status.standing) {
+                ConfigurationStanding.Unconfirmed -> 1.0
+                ConfigurationStanding.Absent, ConfigurationStanding.Confirmed -> 0.0
+            }
+        )
+    }
+
+    private fun gauge(registry: PrometheusRegistry, name: String, help: String): Gauge =
+        Gauge.builder().name(name).help(help).register(registry)
+}
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/ConfigurationPart.kt
@@ -0,0 +1,98 @@
+package org.wisteriahinge.app
+
+import com.github.f4b6a3.uuid.UuidCreator
+import com.github.michaelbull.result.get
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.Closeable
+import java.time.Clock
+import java.time.Duration
+import org.wisteriahinge.adapters.lists.readLists
+import org.wisteriahinge.adapters.log.ConfigurationEffects
+import org.wisteriahinge.adapters.log.ConfigurationFeed
+import org.wisteriahinge.adapters.log.ConfigurationLinks
+import org.wisteriahinge.adapters.metrics.ConfigurationMetrics
+import org.wisteriahinge.core.configuration.ConfigurationEvent
+import org.wisteriahinge.core.configuration.ConfigurationState
+import org.wisteriahinge.core.configuration.ConfigurationStatus
+import org.wisteriahinge.core.configuration.ConfigurationTiming
+import org.wisteriahinge.core.configuration.ListReader
+import org.wisteriahinge.core.membership.Members
+import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.runtime.AppendRequest
+import org.wisteriahinge.runtime.ConfigurationDuty
+import org.wisteriahinge.runtime.EffectSink
+import org.wisteriahinge.runtime.Offer
+import org.wisteriahinge.runtime.PeerLink
+import org.wisteriahinge.runtime.PlatformLog
+import org.wisteriahinge.runtime.Ring
+
+private const val RING_CAPACITY = 256
+
+/** Changes of the members are announced once, so that heartbeats must leave them room. */
+private const val RESERVED_PLACES = 32
+private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
+
+/** The identity and the messages of this instance among its peers. */
+public class ConfigurationPeers(public val self: InstanceId, public val link: PeerLink)
+
+/** The part of an instance that keeps its configuration current. */
+public class ConfigurationPart(
+    timing: ConfigurationTiming,
+    log: PlatformLog,
+    logRing: Ring<AppendRequest>,
+    registry: PrometheusRegistry,
+    clock: Clock,
+    peers: ConfigurationPeers? = null,
+    apply: EffectSink<Configuration>
+) : Closeable {
+    private val self =
+        peers?.self ?: InstanceId(UuidCreator.getTimeOrderedEpoch().toString())
+    private val ring = Ring<ConfigurationEvent>("configuration", RING_CAPACITY, RESERVED_PLACES)
+    private val metrics = ConfigurationMetrics(registry)
+    private val effects = ConfigurationEffects(
+        ConfigurationLinks(self, ring, logRing, peers?.link, metrics, apply)
+    )
+    private val feed = ConfigurationFeed(log, ring)
+    private val duty = ConfigurationDuty(
+        ring,
+        ConfigurationState(
+            self = self,
+            reader = validatingReader,
+            startedAt = clock.instant(),
+            expectsPeers = peers != null,
+            timing = timing
+        ),
+        effects,
+        clock
+    )
+
+    /** The revision in force and whether it is confirmed; for readiness. */
+    public val status: ConfigurationStatus get() = effects.status
+
+    /** Starts the duties. */
+    public fun start() {
+        duty.start()
+        feed.start()
+    }
+
+    /** Passes on who takes part. */
+    public fun membersChanged(members: Members) {
+        val offer = ring.offerReserved(ConfigurationEvent.MembersChanged(members.live))
+        if (offer == Offer.Full) metrics.messageDropped()
+    }
+
+    /** Passes on a heartbeat or a message about the configuration. Peers repeat lost ones. */
+    public fun received(message: PeerMessage) {
+        val offer = ring.offer(ConfigurationEvent.PeerHeard(message))
+        if (offer == Offer.Full) metrics.messageDropped()
+    }
+
+    override fun close() {
+        feed.close()
+        duty.stop(STOP_TIMEOUT)
+    }
+}
+
+private val validatingReader = ListReader { lists, revision -> readLists(lists, revision).get() }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -9,7 +9,6 @@
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
-import org.wisteriahinge.adapters.log.ConfigurationTailDuty
 import org.wisteriahinge.adapters.log.HttpPlatformLog
 import org.wisteriahinge.adapters.metrics.CallMetrics
 import org.wisteriahinge.core.call.CallEffect
@@ -18,12 +17,16 @@
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
+import org.wisteriahinge.runtime.AppendRequest
 import org.wisteriahinge.runtime.CallMessage
 import org.wisteriahinge.runtime.CallsDuty
+import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.offerWaiting
 
 private const val CALLS_RING_CAPACITY = 8_192
 private const val MAX_CALLS = 1_024
+private const val LOG_RING_CAPACITY = 1_024
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -37,9 +40,15 @@
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
     private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
-    private val tail = ConfigurationTailDuty(log) {
-        callsRing.offerReserved(CallMessage(CallEvent.Configured(it)))
-    }
+    private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
+    private val logDuty = LogDuty(logRing, log)
+    private val configuration = ConfigurationPart(
+        settings.configurationTiming,
+        log,
+        logRing,
+        registry,
+        clock
+    ) { callsRing.offerWaiting(CallMessage(CallEvent.Configured(it))) }
     private val backend = BackendClient(settings.maxConnectionsPerTarget)
     private val server = CallerServer(
         CallerServerSettings(
@@ -66,13 +75,15 @@
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
-        tail.start()
+        logDuty.start()
+        configuration.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
-        tail.stop(STOP_TIMEOUT)
+        configuration.close()
+        logDuty.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app
 
 import java.time.Duration
+import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 
 /** Settings of one instance. [credentialKey] is secret and never printed. */
@@ -14,5 +15,6 @@
     public val logTimeout: Duration = Duration.ofSeconds(5),
     public val defaultTimeout: Duration = Duration.ofSeconds(10),
     public val maxTimeout: Duration = Duration.ofMinutes(10),
-    public val maxConnectionsPerTarget: Int = 13
+    public val maxConnectionsPerTarget: Int = 13,
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/PublishCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PublishCommand.kt
@@ -13,12 +13,12 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
 import kotlinx.collections.immutable.persistentListOf
-import org.wisteriahinge.adapters.lists.ListTexts
 import org.wisteriahinge.adapters.lists.readLists
 import org.wisteriahinge.adapters.log.HttpPlatformLog
 import org.wisteriahinge.adapters.log.REVISION_RECORD_VERSION
 import org.wisteriahinge.adapters.log.RevisionCodec
 import org.wisteriahinge.adapters.log.RevisionRecord
+import org.wisteriahinge.core.configuration.ListTexts
 import org.wisteriahinge.core.model.RevisionNumber
 import org.wisteriahinge.runtime.LogStream
 
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/configuration/BaseDecide.kt
@@ -0,0 +1,158 @@
+package org.wisteriahinge.core.configuration
+
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.model.RevisionNumber
+
+/** Enough that one slow or unreachable peer does not delay an answer. */
+private const val PEERS_ASKED_AT_ONCE = 3
+
+internal fun ConfigurationState.snapshotsRead(
+    records: PersistentList<SnapshotRecord>,
+    now: Instant
+): ConfigurationDecision = records.fold(ConfigurationDecision(this)) { decision, record ->
+    decision
+        .update { it.copy(snapshots = it.snapshots.copy(newest = record.mark())) }
+        .then {
+            it.offerBase(record.base, ConfigurationCounter.AcceptedFromSnapshot, now)
+        }
+}
+
+private fun SnapshotRecord.mark() =
+    SnapshotMark(streamOffset, writtenAt, base.revision, base.nextOffset)
+
+internal fun ConfigurationState.peerHeard(
+    message: PeerMessage,
+    now: Instant
+): ConfigurationDecision = when (message) {
+    is PeerMessage.Heartbeat -> revisionHeard(message.from, message.revision, now)
+    is PeerMessage.ConfigurationRequest -> replyTo(message.from)
+    is PeerMessage.ConfigurationReply -> replyHeard(message, now)
+    is PeerMessage.Quarantine,
+    is PeerMessage.OutcomeRequest,
+    is PeerMessage.OutcomeReply -> ConfigurationDecision(this)
+}
+
+private fun ConfigurationState.revisionHeard(
+    from: InstanceId,
+    revision: RevisionNumber,
+    now: Instant
+): ConfigurationDecision {
+    val isBehind = revision > inForce.revision
+    val heard = copy(
+        peers = peers.copy(
+            heardAt = if (revision > RevisionNumber.None) now else peers.heardAt,
+            confirmedAt = if (revision == inForce.revision) now else peers.confirmedAt,
+            behindSince = if (isBehind) peers.behindSince ?: now else peers.behindSince,
+            newestRevision = maxOf(peers.newestRevision, revision)
+        )
+    )
+    return if (isBehind) heard.askPeer(from, now) else ConfigurationDecision(heard)
+}
+
+/**
+ * Asks [peer] when the log did not bring the newer revision by itself for one interval, so that
+ * a usual publication does not send the lists between all instances.
+ */
+private fun ConfigurationState.askPeer(peer: InstanceId, now: Instant): ConfigurationDecision {
+    val behindSince = peers.behindSince ?: now
+    val logIsFollowing = phase == ConfigurationPhase.Current &&
+        position.readAt?.let { now < it + timing.askInterval.multipliedBy(2) } == true
+    val waits = logIsFollowing && now < behindSince + timing.askInterval
+    return if (waits || !mayAsk(now)) {
+        ConfigurationDecision(this)
+    } else {
+        ConfigurationDecision(copy(peers = peers.copy(askedAt = now)))
+            .emit(ConfigurationEffect.AskPeer(peer))
+    }
+}
+
+private fun ConfigurationState.replyTo(peer: InstanceId): ConfigurationDecision =
+    base?.let { ConfigurationDecision(this).emit(ConfigurationEffect.ReplyToPeer(peer, it)) }
+        ?: ConfigurationDecision(this)
+
+private fun ConfigurationState.replyHeard(
+    reply: PeerMessage.ConfigurationReply,
+    now: Instant
+): ConfigurationDecision {
+    val lists = ListTexts(reply.customers, reply.entitlements)
+    return copy(peers = peers.copy(heardAt = now)).offerBase(
+        RevisionBase(reply.revision, reply.offset, lists),
+        ConfigurationCounter.AcceptedFromPeer,
+        now
+    ).update {
+        val confirms = it.inForce.revision == reply.revision
+        if (confirms) it.copy(peers = it.peers.copy(confirmedAt = now)) else it
+    }
+}
+
+/** Takes over [base] if it is newer, and its position if this instance has lost its own. */
+private fun ConfigurationState.offerBase(
+    base: RevisionBase,
+    source: ConfigurationCounter,
+    now: Instant
+): ConfigurationDecision = when {
+    base.revision < inForce.revision ->
+        ConfigurationDecision(this).count(ConfigurationCounter.StaleBase)
+    base.revision == inForce.revision -> takePosition(base, isNewer = false, now)
+    else ->
+        reader.read(base.lists, base.revision)?.let { next ->
+            val adopted = copy(inForce = next, lists = base.lists)
+            ConfigurationDecision(adopted).count(source)
+                .then { it.applyUnlessLoading() }
+                .then { it.takePosition(base, isNewer = true, now) }
+        } ?: ConfigurationDecision(this).count(ConfigurationCounter.RejectedInvalid)
+}
+
+/** While loading, the revision is applied by the transition that ends the loading. */
+private fun ConfigurationState.applyUnlessLoading(): ConfigurationDecision =
+    if (phase == ConfigurationPhase.Loading) {
+        ConfigurationDecision(this)
+    } else {
+        ConfigurationDecision(this).emit(ConfigurationEffect.Apply(inForce))
+    }
+
+/**
+ * Continues from the position of [base], which is in force here.
+ *
+ * An instance that follows the log keeps its own position: deciding again on a record that is
+ * part of the revision in force rejects it as stale.
+ */
+private fun ConfigurationState.takePosition(
+    base: RevisionBase,
+    isNewer: Boolean,
+    now: Instant
+): ConfigurationDecision {
+    val at = copy(position = position.copy(nextOffset = base.nextOffset))
+    return when (phase) {
+        ConfigurationPhase.Loading -> ConfigurationDecision(at)
+        ConfigurationPhase.Current, ConfigurationPhase.Unconfirmed ->
+            if (isNewer) at.foldHeld() else ConfigurationDecision(this)
+        ConfigurationPhase.Detached ->
+            if (base.nextOffset >= position.retainedFrom) {
+                at.step(ConfigurationTrigger.PositionFound, now)
+            } else {
+                ConfigurationDecision(this)
+            }
+    }
+}
+
+internal fun ConfigurationState.askPeersAgain(now: Instant): ConfigurationDecision =
+    if (mayAsk(now)) askPeers(now) else ConfigurationDecision(this)
+
+/** Asks a few peers, others each time, so that the lists are not sent by all of them at once. */
+internal fun ConfigurationState.askPeers(now: Instant): ConfigurationDecision {
+    val others = (peers.members ?: persistentSetOf()).remove(self)
+    val round = now.epochSecond
+    val asked = others.sortedBy { rendezvousWeight(round, it) }.take(PEERS_ASKED_AT_ONCE)
+    val noted = ConfigurationDecision(copy(peers = peers.copy(askedAt = now)))
+    return asked.fold(noted) { decision, peer ->
+        decision.emit(ConfigurationEffect.AskPeer(peer))
+    }
+}
+
+private fun ConfigurationState.mayAsk(now: Instant): Boolean =
+    peers.askedAt?.let { now >= it + timing.askInterval } ?: true
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/configuration/ConfigurationDecide.kt
@@ -0,0 +1,119 @@
+package org.wisteriahinge.core.configuration
+
+import java.time.Instant
+
+/** Decides on [event] at [now]. Pure: reads no clock and performs no I/O. */
+public fun ConfigurationState.decide(
+    event: ConfigurationEvent,
+    now: Instant
+): ConfigurationDecision = when (event) {
+    is ConfigurationEvent.Loaded -> loaded(event, now)
+    is ConfigurationEvent.RecordsRead -> recordsRead(event.records, now)
+    is ConfigurationEvent.RecordsLost -> recordsLost(event.earliest, now)
+    is ConfigurationEvent.SnapshotsRead -> snapshotsRead(event.snapshots, now)
+    ConfigurationEvent.SnapshotsLost ->
+        ConfigurationDecision(copy(snapshots = snapshots.copy(newest = null)))
+    is ConfigurationEvent.SnapshotWriteEnded -> snapshotWriteEnded(event.succeeded)
+    is ConfigurationEvent.PeerHeard -> peerHeard(event.message, now)
+    is ConfigurationEvent.MembersChanged ->
+        ConfigurationDecision(copy(peers = peers.copy(members = event.members)))
+    ConfigurationEvent.Ticked -> ConfigurationDecision(this)
+}
+    .update { it.forgetCaughtUp() }
+    .then { it.passTime(now) }
+    .then { it.writeSnapshotIfDue(now) }
+    .then { it.reportChange() }
+
+private fun ConfigurationState.passTime(now: Instant): ConfigurationDecision = when (phase) {
+    ConfigurationPhase.Loading -> leaveLoading(now)
+    ConfigurationPhase.Current ->
+        if (isConfirmed(now)) {
+            ConfigurationDecision(this)
+        } else {
+            step(ConfigurationTrigger.ConfirmationExpired, now)
+        }
+    ConfigurationPhase.Unconfirmed ->
+        if (isConfirmed(now)) {
+            step(ConfigurationTrigger.Confirmed, now)
+        } else {
+            askPeersAgain(now)
+        }
+    ConfigurationPhase.Detached ->
+        if (logAnswers(now) && now >= phaseSince + timing.settleTime) {
+            step(ConfigurationTrigger.Settled, now)
+        } else {
+            askPeersAgain(now)
+        }
+}
+
+/**
+ * Applies the first answer of the log once a peer was heard, so that a restarted instance does
+ * not serve an older revision from a log that lost records. Without the log, a peer's is taken.
+ */
+private fun ConfigurationState.leaveLoading(now: Instant): ConfigurationDecision {
+    val hasPosition = position.nextOffset >= position.retainedFrom
+    val peerAnswered = !expectsPeers || peers.heardAt != null
+    val isBehind = peers.newestRevision > inForce.revision
+    val graceEnded = now >= startedAt + timing.startGrace
+    return when {
+        !position.loaded && lists != null -> step(ConfigurationTrigger.PositionFound, now)
+        !position.loaded -> askPeersAgain(now)
+        !graceEnded && (isBehind || !peerAnswered) -> askPeersAgain(now)
+        !hasPosition -> step(ConfigurationTrigger.PositionLost, now)
+        peerAnswered -> step(ConfigurationTrigger.PositionFound, now)
+        else -> step(ConfigurationTrigger.Settled, now)
+    }
+}
+
+/** Moves along the chart and performs the actions that the chart file lists. */
+internal fun ConfigurationState.step(
+    trigger: ConfigurationTrigger,
+    now: Instant
+): ConfigurationDecision {
+    if (!configurationChart.handles(phase, trigger)) return ConfigurationDecision(this)
+    val next = configurationChart.step(phase, trigger)
+    val moved = copy(phase = next.state, phaseSince = now)
+    return next.effects.fold(ConfigurationDecision(moved)) { decision, action ->
+        decision.then { it.act(action, now) }
+    }
+}
+
+private fun ConfigurationState.act(
+    action: ConfigurationAction,
+    now: Instant
+): ConfigurationDecision = when (action) {
+    ConfigurationAction.ApplyRevision ->
+        if (lists == null) {
+            ConfigurationDecision(this)
+        } else {
+            ConfigurationDecision(this).emit(ConfigurationEffect.Apply(inForce))
+        }
+    ConfigurationAction.FoldHeldRecords -> foldHeld()
+    ConfigurationAction.AskPeers -> askPeers(now)
+    ConfigurationAction.TakePositionInLog ->
+        ConfigurationDecision(
+            copy(
+                position = position.copy(nextOffset = position.retainedFrom),
+                snapshots = snapshots.copy(newest = null)
+            )
+        )
+}
+
+private fun ConfigurationState.logAnswers(now: Instant): Boolean =
+    position.readAt?.let { now < it + timing.confirmationTime } == true
+
+private fun ConfigurationState.isConfirmed(now: Instant): Boolean =
+    logAnswers(now) || peers.confirmedAt?.let { now < it + timing.confirmationTime } == true
+
+private fun ConfigurationState.forgetCaughtUp(): ConfigurationState =
+    if (peers.newestRevision <= inForce.revision) {
+        copy(peers = peers.copy(behindSince = null))
+    } else {
+        this
+    }
+
+private fun ConfigurationState.reportChange(): ConfigurationDecision = if (status == reported) {
+    ConfigurationDecision(this)
+} else {
+    ConfigurationDecision(copy(reported = status)).emit(ConfigurationEffect.Report(status))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/configuration/ConfigurationEffect.kt
@@ -0,0 +1,100 @@
+package org.wisteriahinge.core.configuration
+
+import java.time.Instant
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.model.RevisionNumber
+
+/** What the `configuration` duty asks the adapters for. */
+public sealed interface ConfigurationEffect {
+    /** Puts [configuration] in force; its revision is above every one applied before. */
+    public data class Apply(val configuration: Configuration) : ConfigurationEffect
+
+    /** Appends a snapshot of [base] to the stream `configuration-snapshot`. */
+    public data class WriteSnapshot(val base: RevisionBase, val writtenAt: Instant) :
+        ConfigurationEffect
+
+    /** Asks [to] for the configuration in force there. */
+    public data class AskPeer(val to: InstanceId) : ConfigurationEffect
+
+    /** Sends [base] to [to]. */
+    public data class ReplyToPeer(val to: InstanceId, val base: RevisionBase) :
+        ConfigurationEffect
+
+    /** Shows [status] in readiness and metrics. */
+    public data class Report(val status: ConfigurationStatus) : ConfigurationEffect
+
+    /** Adds one to the metric of [counter]. */
+    public data class Count(val counter: ConfigurationCounter) : ConfigurationEffect
+}
+
+/** Whether the revision in force is known to be the newest. */
+public sealed class ConfigurationStanding(public val wireName: String) {
+    /** No revision is in force. */
+    public data object Absent : ConfigurationStanding("absent")
+
+    /** The log or a peer confirmed it lately. */
+    public data object Confirmed : ConfigurationStanding("confirmed")
+
+    /** Neither the log nor a peer could confirm it; it stays in force. */
+    public data object Unconfirmed : ConfigurationStanding("unconfirmed")
+}
+
+/** What operators see of the configuration of an instance. */
+public data class ConfigurationStatus(
+    val revision: RevisionNumber = RevisionNumber.None,
+    val newestKnown: RevisionNumber = RevisionNumber.None,
+    val standing: ConfigurationStanding = ConfigurationStanding.Absent
+)
+
+/** A metric that counts decisions on the configuration. [wireName] is its label. */
+public sealed class ConfigurationCounter(public val wireName: String) {
+    /** A revision of the log came into force. */
+    public data object AcceptedFromLog : ConfigurationCounter("accepted_from_log")
+
+    /** A revision came into force from a peer's reply. */
+    public data object AcceptedFromPeer : ConfigurationCounter("accepted_from_peer")
+
+    /** A revision came into force from a snapshot. */
+    public data object AcceptedFromSnapshot : ConfigurationCounter("accepted_from_snapshot")
+
+    /** A record replaces a revision that is no longer in force. */
+    public data object RejectedStale : ConfigurationCounter("rejected_stale")
+
+    /** A record's lists do not validate. */
+    public data object RejectedInvalid : ConfigurationCounter("rejected_invalid")
+
+    /** A record cannot be decoded. */
+    public data object RejectedUnreadable : ConfigurationCounter("rejected_unreadable")
+
+    /** A held record was dropped because too many were held. */
+    public data object HeldDropped : ConfigurationCounter("held_dropped")
+
+    /** A reply or snapshot is older than the revision in force. */
+    public data object StaleBase : ConfigurationCounter("stale_base")
+
+    /** Records were lost unread. */
+    public data object PositionLost : ConfigurationCounter("position_lost")
+
+    /** A snapshot was appended. */
+    public data object SnapshotWritten : ConfigurationCounter("snapshot_written")
+
+    /** The append of a snapshot failed. */
+    public data object SnapshotFailed : ConfigurationCounter("snapshot_failed")
+
+    public companion object {
+        public val all: List<ConfigurationCounter> get() = listOf(
+            AcceptedFromLog,
+            AcceptedFromPeer,
+            AcceptedFromSnapshot,
+            RejectedStale,
+            RejectedInvalid,
+            RejectedUnreadable,
+            HeldDropped,
+            StaleBase,
+            PositionLost,
+            SnapshotWritten,
+            SnapshotFailed
+        )
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/ConfigurationDuty.kt
@@ -0,0 +1,26 @@
+package org.wisteriahinge.runtime
+
+import java.time.Clock
+import java.time.Duration
+import org.wisteriahinge.core.configuration.ConfigurationEffect
+import org.wisteriahinge.core.configuration.ConfigurationEvent
+import org.wisteriahinge.core.configuration.ConfigurationState
+import org.wisteriahinge.core.configuration.decide
+
+/** Longest time without a decision; the shortest period that decisions use is one second. */
+private val TICK: Duration = Duration.ofMillis(250)
+
+/** Owns [ConfigurationState]. */
+public class ConfigurationDuty(
+    private val inbox: Ring<ConfigurationEvent>,
+    private var state: ConfigurationState,
+    private val effects: EffectSink<ConfigurationEffect>,
+    private val clock: Clock
+) : Duty("configuration") {
+    override fun runOnce() {
+        val event = inbox.take(TICK) ?: ConfigurationEvent.Ticked
+        val decision = state.decide(event, clock.instant())
+        state = decision.state
+        decision.effects.forEach(effects::perform)
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/WaitingOffer.kt
@@ -0,0 +1,17 @@
+package org.wisteriahinge.runtime
+
+import java.time.Duration
+
+private val PAUSE_WHILE_FULL: Duration = Duration.ofMillis(20)
+
+/**
+ * Adds [message], waiting while the ring is full.
+ *
+ * Only for duties that may fall behind, such as the tails of the log's streams: the wait is their
+ * backpressure.
+ */
+public fun <T : Any> Ring<T>.offerWaiting(message: T) {
+    while (offer(message) == Offer.Full) {
+        Thread.sleep(PAUSE_WHILE_FULL.toMillis())
+    }
+}
