Add call stages, retries with budgets, hedges and the quarantine

Cause: a call went from the list checks straight to one attempt; any failed attempt ended it, and nothing stopped a request that crashes servers.

Change: CallStage orders the steps before the first attempt; a stage passes, refuses or suspends a call, resumes it later and gives back what it held when the call ends. A failed attempt or a server error leads to a further attempt within a budget per service when the work allows it; slow repeatable short calls can be hedged. Each retry, hedge and denial has a typed, counted reason. The chart call-attempt gains the event rejected and the effect cancel_others. A broken connection makes its request a suspect; suspects run one at a time, peers are told at once and in heartbeats, and three crashes quarantine it. Failures of suspects are attributed to the request for routing. A timeout of the backend client is reported as timed out, not as a broken connection.

Conclusion: hedging stays off by default until the front end carries parallel attempts of one call.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.adapters.caller
 
+import io.ktor.client.plugins.HttpRequestTimeoutException
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.ContentType
@@ -63,6 +64,8 @@
     private suspend fun attempt(attempt: Attempt) {
         try {
             backend.send(attempt, backendRequest(attempt)) { answer -> answered(attempt, answer) }
+        } catch (_: HttpRequestTimeoutException) {
+            fail(attempt, AttemptFailure.TimedOut)
         } catch (_: ConnectException) {
             fail(attempt, AttemptFailure.ConnectFailed)
         } catch (_: IOException) {
@@ -114,6 +117,9 @@
         )
     }
 
+    private fun noRetryHeader(attempt: Attempt) =
+        if (attempt.noRetry) listOf(HeaderField(WireHeaders.NO_RETRY, "1")) else emptyList()
+
     private fun forwardedHeaders(
         attempt: Attempt,
         remainingMillis: Long
@@ -122,7 +128,7 @@
             HeaderField(WireHeaders.TIMEOUT_MILLIS, remainingMillis.toString()),
             HeaderField(WireHeaders.DEPTH, (request.depth + 1).toString()),
             HeaderField(WireHeaders.ATTEMPT, attempt.number.toString())
-        )
+        ) + noRetryHeader(attempt)
         val key = request.idempotencyKey?.let { HeaderField(WireHeaders.IDEMPOTENCY_KEY, it.value) }
         return (own + listOfNotNull(key)).toPersistentList()
     }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -32,6 +32,45 @@
         "Answers that ended early",
         "service"
     )
+    private val retried = counter(
+        registry,
+        "wisteriahinge_retries_total",
+        "Failed attempts followed by another one",
+        "service",
+        "reason"
+    )
+    private val retriesDenied = counter(
+        registry,
+        "wisteriahinge_retries_denied_total",
+        "Failed attempts not followed by another one",
+        "service",
+        "denial"
+    )
+    private val hedged = counter(
+        registry,
+        "wisteriahinge_hedges_total",
+        "Slow attempts hedged",
+        "service"
+    )
+    private val hedgesDenied = counter(
+        registry,
+        "wisteriahinge_hedges_denied_total",
+        "Slow attempts not hedged",
+        "service",
+        "denial"
+    )
+    private val hedgesWon = counter(
+        registry,
+        "wisteriahinge_hedges_won_total",
+        "Hedges that answered first",
+        "service"
+    )
+    private val crashesSuspected = counter(
+        registry,
+        "wisteriahinge_crashes_suspected_total",
+        "Connections broken while a request ran",
+        "service"
+    )
 
     /** Adds one to the metric of [counter]. */
     public fun count(counter: CallCounter) {
@@ -41,6 +80,16 @@
                 answered.labelValues(counter.service.value, counter.status.toString()).inc()
             is CallCounter.AttemptFailed ->
                 attemptsFailed.labelValues(counter.service.value, counter.failure.wireName).inc()
+            is CallCounter.Retried ->
+                retried.labelValues(counter.service.value, counter.reason.wireName).inc()
+            is CallCounter.RetryDenied ->
+                retriesDenied.labelValues(counter.service.value, counter.denial.wireName).inc()
+            is CallCounter.Hedged -> hedged.labelValues(counter.service.value).inc()
+            is CallCounter.HedgeDenied ->
+                hedgesDenied.labelValues(counter.service.value, counter.denial.wireName).inc()
+            is CallCounter.HedgeWon -> hedgesWon.labelValues(counter.service.value).inc()
+            is CallCounter.CrashSuspected ->
+                crashesSuspected.labelValues(counter.service.value).inc()
             is CallCounter.Truncated -> truncated.labelValues(counter.service.value).inc()
         }
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
@@ -0,0 +1,59 @@
+package org.wisteriahinge.core.call
+
+import java.time.Instant
+import org.wisteriahinge.core.model.CallId
+
+/** Why an attempt ended without an answer for the caller. */
+internal sealed interface RetryCause {
+    /** It failed. */
+    data class Failure(val failure: AttemptFailure) : RetryCause
+
+    /** The target answered with a server error that was not passed on. */
+    data object ErrorAnswer : RetryCause
+}
+
+/** The attempt that an action of the chart `call-attempt` is about. */
+internal data class AttemptContext(
+    val callId: CallId,
+    val attempt: Attempt,
+    val cause: RetryCause?,
+    val now: Instant
+)
+
+/** Performs one action that a transition of the chart `call-attempt` lists. */
+internal fun CallsState.perform(action: AttemptAction, context: AttemptContext): CallsDecision =
+    when (action) {
+        AttemptAction.DeliverAnswer -> deliver(context)
+        AttemptAction.CancelOthers -> cancelOthers(context)
+        AttemptAction.ReleaseTarget ->
+            CallsDecision(copy(routing = routing.attemptEnded(context.attempt.id)))
+        AttemptAction.ConsiderRetry -> considerRetry(context)
+        AttemptAction.CountTruncated -> countTruncated(context)
+        AttemptAction.CancelRequest ->
+            CallsDecision(this).emit(CallEffect.CancelAttempt(context.callId, context.attempt.id))
+        AttemptAction.FinishCall -> finish(context.callId, context.now)
+    }
+
+private fun CallsState.deliver(context: AttemptContext): CallsDecision {
+    val delivered = CallsDecision(this)
+        .emit(CallEffect.Deliver(context.callId, context.attempt.id))
+    val call = calls[context.callId] ?: return delivered
+    val wonByHedge = call.attempts.size > 1 && context.attempt.number > 1
+    if (!wonByHedge) return delivered
+    return delivered.emit(CallEffect.Count(CallCounter.HedgeWon(call.matched.service.id)))
+}
+
+private fun CallsState.cancelOthers(context: AttemptContext): CallsDecision {
+    val others = calls[context.callId]?.attempts?.keys.orEmpty() - context.attempt.id
+    return others.fold(CallsDecision(this)) { decision, other ->
+        decision.then {
+            it.stepAttempt(context.callId, other, AttemptTrigger.Abandoned, context.now)
+        }
+    }
+}
+
+private fun CallsState.countTruncated(context: AttemptContext): CallsDecision {
+    val call = calls[context.callId] ?: return CallsDecision(this)
+    val counter = CallCounter.Truncated(call.matched.service.id)
+    return CallsDecision(this).emit(CallEffect.Count(counter))
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptChart.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptChart.kt
@@ -18,6 +18,7 @@
 /** What can happen to an attempt. */
 public sealed class AttemptTrigger(override val chartName: String) : ChartName {
     public data object Answered : AttemptTrigger("answered")
+    public data object Rejected : AttemptTrigger("rejected")
     public data object Failed : AttemptTrigger("failed")
     public data object Completed : AttemptTrigger("completed")
     public data object Truncated : AttemptTrigger("truncated")
@@ -27,6 +28,7 @@
 /** What a transition of an attempt asks for. */
 public sealed class AttemptAction(override val chartName: String) : ChartName {
     public data object DeliverAnswer : AttemptAction("deliver_answer")
+    public data object CancelOthers : AttemptAction("cancel_others")
     public data object ReleaseTarget : AttemptAction("release_target")
     public data object ConsiderRetry : AttemptAction("consider_retry")
     public data object CountTruncated : AttemptAction("count_truncated")
@@ -47,6 +49,7 @@
             ),
             events = persistentListOf(
                 AttemptTrigger.Answered,
+                AttemptTrigger.Rejected,
                 AttemptTrigger.Failed,
                 AttemptTrigger.Completed,
                 AttemptTrigger.Truncated,
@@ -54,6 +57,7 @@
             ),
             effects = persistentListOf(
                 AttemptAction.DeliverAnswer,
+                AttemptAction.CancelOthers,
                 AttemptAction.ReleaseTarget,
                 AttemptAction.ConsiderRetry,
                 AttemptAction.CountTruncated,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -7,26 +7,37 @@
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
+import org.wisteriahinge.core.model.WorkClass
+import org.wisteriahinge.core.quarantine.crashed
+import org.wisteriahinge.core.quarantine.isSuspected
+import org.wisteriahinge.core.retry.RetryVerdict
 import org.wisteriahinge.core.routing.AttemptResult
+import org.wisteriahinge.core.routing.FailureAttribution
 import org.wisteriahinge.core.routing.RouteChoice
 import org.wisteriahinge.core.routing.RouteRequest
 
 /** Delay told to callers when no target is available; targets usually return within a second. */
 private val RETRY_AFTER_NO_TARGET: Duration = Duration.ofSeconds(1)
 
-/** Chooses a target for [call] and forwards it, or refuses when there is none. */
+/** The target that a further attempt of this call needs; those tried before are left out. */
+internal fun CallInProgress.routeRequest(): RouteRequest =
+    RouteRequest(matched.service.id, matched.operation.workClass, tried)
+
+/** Chooses a target for the first attempt of [call] and forwards it, or refuses without one. */
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
-    val route = RouteRequest(call.matched.service.id, call.matched.operation.workClass)
-    return when (val choice = routing.choose(route)) {
-        is RouteChoice.Chosen -> copy(routing = choice.routing).forward(call, choice, now)
+    val started = copy(retries = retries.callStarted(call.matched.service.id))
+    return when (val choice = routing.choose(call.routeRequest())) {
+        is RouteChoice.Chosen -> started.forward(call, choice, now)
         RouteChoice.NoTarget -> refuse(
             call.request.callId,
-            Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NO_TARGET)
+            Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NO_TARGET),
+            now
         )
     }
 }
 
-private fun CallsState.forward(
+/** Sends a further or first attempt of [call] to the target of [choice]. */
+internal fun CallsState.forward(
     call: CallInProgress,
     choice: RouteChoice.Chosen,
     now: Instant
@@ -35,56 +46,107 @@
         id = AttemptId(lastAttemptId + 1),
         number = call.attemptsStarted + 1,
         target = choice.target,
-        deadline = call.request.deadline
+        deadline = call.request.deadline,
+        noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed
     )
     val started = call.copy(
         attempts = call.attempts.put(
             attempt.id,
-            AttemptInProgress(attempt, attemptChart.initial)
+            AttemptInProgress(attempt, attemptChart.initial, now)
         ),
-        attemptsStarted = attempt.number
+        attemptsStarted = attempt.number,
+        tried = call.tried.add(choice.target.id)
     )
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
-        routing = routing.attemptStarted(attempt.id, choice.target.id, now)
+        routing = choice.routing.attemptStarted(attempt.id, choice.target.id, now)
     )
     return CallsDecision(next).emit(CallEffect.Forward(call.request.callId, attempt))
 }
 
 internal fun CallsState.attemptAnswered(event: CallEvent.Answered, now: Instant): CallsDecision {
     val call = calls[event.callId] ?: return CallsDecision(this)
-    if (event.attemptId !in call.attempts) return CallsDecision(this)
+    val inProgress = call.attempts[event.attemptId] ?: return CallsDecision(this)
     val result = AttemptResult.Answered(event.status, event.load)
     val counted = CallCounter.Answered(call.matched.service.id, event.status)
-    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result)))
+    val seen = copy(routing = routing.attemptResult(event.attemptId, result))
+        .observeAnswerTime(call, inProgress, now)
+    val cause = RetryCause.ErrorAnswer
+    val rejected = isServerError(event.status) && seen.canReplaceAnswer(call, cause, now)
+    val trigger = if (rejected) AttemptTrigger.Rejected else AttemptTrigger.Answered
+    return CallsDecision(seen)
         .emit(CallEffect.Count(counted))
-        .then { it.stepAttempt(event.callId, event.attemptId, AttemptTrigger.Answered, now) }
+        .then { it.stepAttempt(event.callId, event.attemptId, trigger, now, cause) }
+}
+
+private fun CallsState.observeAnswerTime(
+    call: CallInProgress,
+    inProgress: AttemptInProgress,
+    now: Instant
+): CallsState = when (call.matched.operation.workClass) {
+    WorkClass.Long -> this
+    WorkClass.Short -> copy(
+        retries = retries.answered(
+            call.matched.service.id,
+            Duration.between(inProgress.startedAt, now)
+        )
+    )
 }
 
+// An error answer is kept back only when another attempt certainly follows or is in progress.
+private fun CallsState.canReplaceAnswer(
+    call: CallInProgress,
+    cause: RetryCause,
+    now: Instant
+): Boolean = call.attempts.size > 1 ||
+    when (retryVerdict(call, cause, now)) {
+        is RetryVerdict.Allowed -> true
+        is RetryVerdict.Denied -> false
+    }
+
 internal fun CallsState.attemptFailed(event: CallEvent.AttemptFailed, now: Instant): CallsDecision {
     val call = calls[event.callId] ?: return CallsDecision(this)
     if (event.attemptId !in call.attempts) return CallsDecision(this)
-    val result = AttemptResult.Failed(event.failure, event.load)
+    val attribution = if (event.failure.isCrash() && isSuspected(call, now)) {
+        FailureAttribution.Request
+    } else {
+        FailureAttribution.Target
+    }
+    val result = AttemptResult.Failed(event.failure, event.load, attribution)
     val counted = CallCounter.AttemptFailed(call.matched.service.id, event.failure)
     return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result)))
         .emit(CallEffect.Count(counted))
+        .then { if (event.failure.isCrash()) it.crashed(call, now) else CallsDecision(it) }
+        .update { it.noteFailure(event) }
         .then {
-            it.stepAttempt(event.callId, event.attemptId, AttemptTrigger.Failed, now, event)
+            val cause = RetryCause.Failure(event.failure)
+            it.stepAttempt(event.callId, event.attemptId, AttemptTrigger.Failed, now, cause)
         }
 }
 
+private fun CallsState.noteFailure(event: CallEvent.AttemptFailed): CallsState {
+    val call = calls[event.callId] ?: return this
+    val mayHaveRun = call.mayHaveRun || event.failure.execution != Execution.NotRun
+    return withCall(
+        call.copy(
+            request = call.request.copy(replayable = event.replayable),
+            mayHaveRun = mayHaveRun
+        )
+    )
+}
+
 /** Interprets [trigger] in the chart `call-attempt` and performs the actions it lists. */
 internal fun CallsState.stepAttempt(
     callId: CallId,
     attemptId: AttemptId,
     trigger: AttemptTrigger,
     now: Instant,
-    failed: CallEvent.AttemptFailed? = null
+    cause: RetryCause? = null
 ): CallsDecision {
     val inProgress = calls[callId]?.attempts?.get(attemptId) ?: return CallsDecision(this)
     val step = attemptChart.step(inProgress.state, trigger)
-    val context = AttemptContext(callId, inProgress.attempt, failed, now)
+    val context = AttemptContext(callId, inProgress.attempt, cause, now)
     val stepped = withAttempt(callId, inProgress.copy(state = step.state))
     return step.effects.fold(CallsDecision(stepped)) { decision, action ->
         decision.then { it.perform(action, context) }
@@ -98,48 +160,5 @@
     } else {
         call.attempts.put(changed.attempt.id, changed)
     }
-    return copy(calls = calls.put(callId, call.copy(attempts = attempts)))
-}
-
-private data class AttemptContext(
-    val callId: CallId,
-    val attempt: Attempt,
-    val failed: CallEvent.AttemptFailed?,
-    val now: Instant
-)
-
-private fun CallsState.perform(action: AttemptAction, context: AttemptContext): CallsDecision =
-    when (action) {
-        AttemptAction.DeliverAnswer ->
-            CallsDecision(this).emit(CallEffect.Deliver(context.callId, context.attempt.id))
-        AttemptAction.ReleaseTarget ->
-            CallsDecision(copy(routing = routing.attemptEnded(context.attempt.id)))
-        AttemptAction.ConsiderRetry -> considerRetry(context)
-        AttemptAction.CountTruncated -> countTruncated(context)
-        AttemptAction.CancelRequest ->
-            CallsDecision(this).emit(CallEffect.CancelAttempt(context.callId, context.attempt.id))
-        AttemptAction.FinishCall -> finish(context.callId)
-    }
-
-private fun CallsState.considerRetry(context: AttemptContext): CallsDecision {
-    val failure = context.failed?.failure ?: AttemptFailure.Disconnected
-    return refuse(context.callId, refusalFor(failure))
-}
-
-private fun refusalFor(failure: AttemptFailure): Refusal = when (failure) {
-    AttemptFailure.TimedOut -> Refusal(RefusalReason.AnswerTooSlow, failure.execution)
-    AttemptFailure.ConnectFailed,
-    AttemptFailure.Shed,
-    AttemptFailure.TargetDraining,
-    AttemptFailure.NotSent
-    -> Refusal(RefusalReason.NoTarget, failure.execution, RETRY_AFTER_NO_TARGET)
-    AttemptFailure.Disconnected,
-    AttemptFailure.InvalidAnswer
-    -> Refusal(RefusalReason.TargetFailed, failure.execution)
-}
-
-private fun CallsState.countTruncated(context: AttemptContext): CallsDecision {
-    val call = calls[context.callId] ?: return CallsDecision(this)
-    val counter = CallCounter.Truncated(call.matched.service.id)
-    return CallsDecision(this).emit(CallEffect.Count(counter))
+    return withCall(call.copy(attempts = attempts))
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
@@ -4,6 +4,9 @@
 
 /** Why an attempt brought no answer, and what that says about whether the target ran it. */
 public sealed class AttemptFailure(public val wireName: String, public val execution: Execution) {
+    /** Whether the target may have crashed while it ran the request. */
+    internal fun isCrash(): Boolean = this == Disconnected
+
     /** No connection was made, so nothing was sent. */
     public data object ConnectFailed : AttemptFailure("connect_failed", Execution.NotRun)
 
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -0,0 +1,141 @@
+package org.wisteriahinge.core.call
+
+import java.time.Duration
+import java.time.Instant
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RefusalReason
+import org.wisteriahinge.core.model.Repeatability
+import org.wisteriahinge.core.quarantine.isQuarantined
+import org.wisteriahinge.core.retry.RetryDenial
+import org.wisteriahinge.core.retry.RetryReason
+import org.wisteriahinge.core.retry.RetryVerdict
+import org.wisteriahinge.core.routing.RouteChoice
+
+/** Delay told to callers when no target took the request; targets usually return in a second. */
+private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofSeconds(1)
+
+/** Least time before the deadline at which a further attempt can still bring an answer. */
+private val MIN_TIME_FOR_ATTEMPT: Duration = Duration.ofMillis(2)
+
+/** Whether [status] may be the fault of one target, so that another one may answer well. */
+internal fun isServerError(status: Int): Boolean = when (status) {
+    500, 502, 503, 504 -> true
+    else -> false
+}
+
+/** Whether [call] may get a further attempt after [cause]. Spends nothing. */
+internal fun CallsState.retryVerdict(
+    call: CallInProgress,
+    cause: RetryCause,
+    now: Instant
+): RetryVerdict {
+    val denial = denialByCall(call, cause, now) ?: denialByState(call)
+    return if (denial == null) {
+        RetryVerdict.Allowed(cause.retryReason())
+    } else {
+        RetryVerdict.Denied(denial)
+    }
+}
+
+private fun CallsState.denialByCall(
+    call: CallInProgress,
+    cause: RetryCause,
+    now: Instant
+): RetryDenial? = when {
+    !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
+    // An earlier attempt of an operation that may not be repeated rules out any further one.
+    (call.mayHaveRun || !cause.isNotRun()) && !call.isRepeatable() -> RetryDenial.NotRepeatable
+    !call.request.replayable -> RetryDenial.NotReplayable
+    call.attemptsStarted >= retries.settings.maxAttempts -> RetryDenial.AttemptsUsedUp
+    now + MIN_TIME_FOR_ATTEMPT >= call.request.deadline -> RetryDenial.DeadlineTooClose
+    isQuarantined(call, now) -> RetryDenial.Suspected
+    else -> null
+}
+
+private fun CallsState.denialByState(call: CallInProgress): RetryDenial? = when {
+    retries.withdrawRetry(call.matched.service.id) == null -> RetryDenial.BudgetSpent
+    else -> when (routing.choose(call.routeRequest())) {
+        is RouteChoice.Chosen -> null
+        RouteChoice.NoTarget -> RetryDenial.NoOtherTarget
+    }
+}
+
+internal fun CallInProgress.isRepeatable(): Boolean = when (matched.operation.repeatability) {
+    Repeatability.Repeatable -> true
+    Repeatability.AtMostOnce -> false
+}
+
+private fun RetryCause.isNotRun(): Boolean = when (this) {
+    is RetryCause.Failure -> failure.execution == Execution.NotRun
+    RetryCause.ErrorAnswer -> false
+}
+
+private fun RetryCause.retryReason(): RetryReason = when (this) {
+    is RetryCause.Failure -> failure.retryReason()
+    RetryCause.ErrorAnswer -> RetryReason.ServerError
+}
+
+private fun AttemptFailure.retryReason(): RetryReason = when (this) {
+    AttemptFailure.ConnectFailed -> RetryReason.ConnectFailed
+    AttemptFailure.Shed -> RetryReason.Shed
+    AttemptFailure.TargetDraining -> RetryReason.TargetDraining
+    AttemptFailure.NotSent -> RetryReason.NotSent
+    AttemptFailure.Disconnected, AttemptFailure.TimedOut -> RetryReason.Disconnected
+    AttemptFailure.InvalidAnswer -> RetryReason.InvalidAnswer
+}
+
+/** Starts a further attempt after one that brought no answer, or refuses the call. */
+internal fun CallsState.considerRetry(context: AttemptContext): CallsDecision {
+    val call = calls[context.callId] ?: return CallsDecision(this)
+    val cause = context.cause ?: RetryCause.Failure(AttemptFailure.Disconnected)
+    val noted = if (cause.isNotRun()) call else call.copy(mayHaveRun = true)
+    if (call.attempts.isNotEmpty()) return CallsDecision(withCall(noted))
+    return when (val verdict = retryVerdict(noted, cause, context.now)) {
+        is RetryVerdict.Allowed -> withCall(noted).retry(noted, verdict, context.now)
+        is RetryVerdict.Denied -> {
+            val counter = CallCounter.RetryDenied(call.matched.service.id, verdict.denial)
+            CallsDecision(withCall(noted)).emit(CallEffect.Count(counter))
+                .then { it.refuse(context.callId, noted.refusalAfter(cause), context.now) }
+        }
+    }
+}
+
+private fun CallsState.retry(
+    call: CallInProgress,
+    verdict: RetryVerdict.Allowed,
+    now: Instant
+): CallsDecision {
+    val service = call.matched.service.id
+    val counter = CallCounter.Retried(service, verdict.reason)
+    val spent = copy(retries = retries.withdrawRetry(service) ?: retries)
+    return when (val choice = spent.routing.choose(call.routeRequest())) {
+        is RouteChoice.Chosen ->
+            CallsDecision(spent).emit(CallEffect.Count(counter))
+                .then { it.forward(call, choice, now) }
+        RouteChoice.NoTarget -> refuse(
+            call.request.callId,
+            Refusal(RefusalReason.NoTarget, call.execution(), RETRY_AFTER_NOT_TAKEN),
+            now
+        )
+    }
+}
+
+/** Not run only when every attempt certainly did not run. */
+private fun CallInProgress.execution(): Execution =
+    if (mayHaveRun) Execution.MayHaveRun else Execution.NotRun
+
+private fun CallInProgress.refusalAfter(cause: RetryCause): Refusal = when (cause) {
+    RetryCause.ErrorAnswer -> Refusal(RefusalReason.TargetFailed, execution())
+    is RetryCause.Failure -> when (cause.failure) {
+        AttemptFailure.TimedOut -> Refusal(RefusalReason.AnswerTooSlow, execution())
+        AttemptFailure.ConnectFailed,
+        AttemptFailure.Shed,
+        AttemptFailure.TargetDraining,
+        AttemptFailure.NotSent
+        -> Refusal(RefusalReason.NoTarget, execution(), RETRY_AFTER_NOT_TAKEN)
+        AttemptFailure.Disconnected,
+        AttemptFailure.InvalidAnswer
+        -> Refusal(RefusalReason.TargetFailed, execution())
+    }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -2,6 +2,8 @@
 
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.retry.RetryDenial
+import org.wisteriahinge.core.retry.RetryReason
 
 /** A metric that counts decisions on calls. */
 public sealed interface CallCounter {
@@ -15,6 +17,24 @@
     public data class AttemptFailed(val service: ServiceId, val failure: AttemptFailure) :
         CallCounter
 
+    /** A failed attempt was followed by another one. */
+    public data class Retried(val service: ServiceId, val reason: RetryReason) : CallCounter
+
+    /** A failed attempt was not followed by another one. */
+    public data class RetryDenied(val service: ServiceId, val denial: RetryDenial) : CallCounter
+
+    /** A second attempt was started in parallel because the first was slow. */
+    public data class Hedged(val service: ServiceId) : CallCounter
+
+    /** A slow attempt was not hedged. */
+    public data class HedgeDenied(val service: ServiceId, val denial: RetryDenial) : CallCounter
+
+    /** A hedge answered before the first attempt. */
+    public data class HedgeWon(val service: ServiceId) : CallCounter
+
+    /** A request is suspected of a crash that this instance saw. */
+    public data class CrashSuspected(val service: ServiceId) : CallCounter
+
     /** An answer ended early after its delivery began. */
     public data class Truncated(val service: ServiceId) : CallCounter
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,8 +1,11 @@
 package org.wisteriahinge.core.call
 
+import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
 
@@ -43,6 +46,12 @@
     /** A revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : CallEvent
 
+    /** The peer [from] reported requests that crashed servers. */
+    public data class QuarantineReported(
+        val from: InstanceId,
+        val notices: PersistentList<QuarantineNotice>
+    ) : CallEvent
+
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -0,0 +1,43 @@
+package org.wisteriahinge.core.call
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+
+/** A step between the checks of a request and its first attempt. */
+public sealed class CallStage(public val wireName: String) {
+    /** Stops requests that crashed servers. */
+    public data object Quarantine : CallStage("quarantine")
+}
+
+/** The order in which a call passes the stages. */
+internal val callStages: PersistentList<CallStage> by lazy {
+    persistentListOf(CallStage.Quarantine)
+}
+
+/** What a stage decides about a call. [decision] holds the state that the stage reached. */
+internal sealed interface StageOutcome {
+    val decision: CallsDecision
+
+    /** The call goes on to the next stage. */
+    data class Passed(override val decision: CallsDecision) : StageOutcome
+
+    /** The call is refused. */
+    data class Refused(override val decision: CallsDecision, val refusal: Refusal) : StageOutcome
+
+    /** The call waits until the stage calls [resumeAfter] or [refuse] on a later event. */
+    data class Suspended(override val decision: CallsDecision) : StageOutcome
+}
+
+/** How a call ended; stages give back what the call held. */
+internal sealed interface CallEnd {
+    /** A target's answer was passed to the caller, whole or cut short. */
+    data object Answered : CallEnd
+
+    /** The load balancer refused the call. */
+    data class Refused(val refusal: Refusal) : CallEnd
+
+    /** The caller closed its connection. */
+    data class CallerGone(val execution: Execution) : CallEnd
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -7,6 +7,8 @@
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
+import org.wisteriahinge.core.quarantine.quarantineReported
+import org.wisteriahinge.core.quarantine.summarizeQuarantine
 
 /** Decides on [event] at [now]. Pure: reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision = when (event) {
@@ -21,7 +23,8 @@
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
-    CallEvent.Ticked -> CallsDecision(this)
+    is CallEvent.QuarantineReported -> quarantineReported(event, now)
+    CallEvent.Ticked -> ticked(now)
 }
 
 private fun CallsState.configured(next: Configuration): CallsDecision =
@@ -35,17 +38,20 @@
     configuration.check(request, now).mapBoth(
         success = { checked ->
             val call = CallInProgress(request, checked.caller, checked.matched)
-            copy(calls = calls.put(request.callId, call)).startAttempt(call, now)
+            withCall(call).runStages(request.callId, now)
         },
-        failure = { reason -> refuse(request.callId, Refusal(reason, Execution.NotRun)) }
+        failure = { reason -> refuse(request.callId, Refusal(reason, Execution.NotRun), now) }
     )
 
 /** Refuses a call that holds no target and forgets it. */
-internal fun CallsState.refuse(callId: CallId, refusal: Refusal): CallsDecision =
-    CallsDecision(copy(calls = calls.remove(callId)))
+internal fun CallsState.refuse(callId: CallId, refusal: Refusal, now: Instant): CallsDecision =
+    endCall(callId, CallEnd.Refused(refusal), now)
         .emit(CallEffect.Count(CallCounter.Refused(refusal.reason)))
         .emit(CallEffect.Refuse(callId, refusal))
 
+private fun CallsState.ticked(now: Instant): CallsDecision =
+    summarizeQuarantine(now).then { it.startHedges(now) }
+
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
     val abandoned = call.attempts.keys.fold(CallsDecision(this)) { decision, attemptId ->
@@ -53,8 +59,18 @@
     }
     return abandoned
         .emit(CallEffect.Count(CallCounter.Refused(RefusalReason.CallerGone)))
-        .then { it.finish(callId) }
+        .then { it.endCall(callId, CallEnd.CallerGone(call.executionIfAbandoned()), now) }
+        .emit(CallEffect.Finished(callId))
 }
 
-internal fun CallsState.finish(callId: CallId): CallsDecision =
-    CallsDecision(copy(calls = calls.remove(callId))).emit(CallEffect.Finished(callId))
+/** An attempt in progress may have run even though it is cancelled. */
+private fun CallInProgress.executionIfAbandoned(): Execution =
+    if (mayHaveRun || attempts.isNotEmpty()) Execution.MayHaveRun else Execution.NotRun
+
+internal fun CallsState.finish(callId: CallId, now: Instant): CallsDecision =
+    endCall(callId, CallEnd.Answered, now).emit(CallEffect.Finished(callId))
+
+private fun CallsState.endCall(callId: CallId, end: CallEnd, now: Instant): CallsDecision {
+    val call = calls[callId] ?: return CallsDecision(this)
+    return copy(calls = calls.remove(callId)).leaveStages(call, end, now)
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -1,23 +1,43 @@
 package org.wisteriahinge.core.call
 
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.MatchedOperation
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.quarantine.QuarantineState
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
 
 /** An attempt in progress and its state in the chart `call-attempt`. */
-public data class AttemptInProgress(val attempt: Attempt, val state: AttemptState)
+public data class AttemptInProgress(
+    val attempt: Attempt,
+    val state: AttemptState,
+    val startedAt: Instant
+)
 
-/** A call in progress. [attemptsStarted] counts all attempts, ended ones included. */
+/**
+ * A call in progress.
+ *
+ * [attemptsStarted] counts all attempts, ended ones included; [tried] are their targets.
+ * [mayHaveRun] is set once an ended attempt may have run. [waitingAt] is the stage that suspended
+ * the call.
+ */
 public data class CallInProgress(
     val request: CallRequest,
     val caller: EntitledCaller,
     val matched: MatchedOperation,
     val attempts: PersistentMap<AttemptId, AttemptInProgress> = persistentHashMapOf(),
-    val attemptsStarted: Int = 0
+    val attemptsStarted: Int = 0,
+    val tried: PersistentSet<TargetId> = persistentSetOf(),
+    val mayHaveRun: Boolean = false,
+    val waitingAt: CallStage? = null,
+    val hedgeConsidered: Boolean = false
 )
 
 /** All that the decisions on calls depend on. Owned by the `calls` duty. */
@@ -25,5 +45,10 @@
     val configuration: Configuration,
     val routing: RoutingState,
     val calls: PersistentMap<CallId, CallInProgress> = persistentHashMapOf(),
-    val lastAttemptId: Long = 0
-)
+    val lastAttemptId: Long = 0,
+    val retries: RetryState = RetryState(),
+    val quarantine: QuarantineState = QuarantineState()
+) {
+    internal fun withCall(call: CallInProgress): CallsState =
+        copy(calls = calls.put(call.request.callId, call))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineReports.kt
@@ -0,0 +1,135 @@
+package org.wisteriahinge.core.quarantine
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.call.CallEffect
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallsDecision
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.membership.QuarantineNotice
+
+private val SUMMARY_PERIOD: Duration = Duration.ofSeconds(1)
+private val REPORT_WINDOW: Duration = Duration.ofSeconds(1)
+
+/**
+ * A notice carries the sender's own count, so that repeated notices add nothing; of a quarantined
+ * request it carries the total. The time [QuarantineNotice.until] of a suspect is set while the
+ * sender may run it, and [Instant.EPOCH] otherwise; 0 crashes at that time withdraw its report.
+ */
+internal fun SuspectKey.notice(crashes: Int, until: Instant): QuarantineNotice =
+    QuarantineNotice(customer, operation, digest, crashes, until)
+
+/** Tells all peers of [suspect] at once, within the bound on reports. */
+internal fun CallsState.reportSuspect(
+    key: SuspectKey,
+    suspect: Suspect,
+    now: Instant
+): CallsDecision {
+    val window = quarantine.window
+    val current = if (window.since + REPORT_WINDOW > now) window else ReportWindow(now)
+    if (current.reports >= quarantine.settings.maxReportsPerSecond) return CallsDecision(this)
+    val notice = if (suspect.quarantined) {
+        key.notice(suspect.crashes, suspect.until)
+    } else {
+        key.notice(suspect.ownCrashes, now + quarantine.settings.hold)
+    }
+    val counted = current.copy(reports = current.reports + 1)
+    return CallsDecision(copy(quarantine = quarantine.copy(window = counted)))
+        .emit(CallEffect.ReportQuarantine(persistentListOf(notice)))
+}
+
+/** Takes over what the peer of [event] reported. */
+internal fun CallsState.quarantineReported(
+    event: CallEvent.QuarantineReported,
+    now: Instant
+): CallsDecision {
+    val next = event.notices.fold(quarantine) { state, notice -> state.merge(event, notice, now) }
+    return CallsDecision(copy(quarantine = next))
+}
+
+private fun QuarantineState.merge(
+    event: CallEvent.QuarantineReported,
+    notice: QuarantineNotice,
+    now: Instant
+): QuarantineState {
+    val key = SuspectKey(notice.customer, notice.operation, notice.digest)
+    val withdrawn = notice.crashes <= 0 && notice.until == Instant.EPOCH
+    return when {
+        notice.crashes >= settings.maxCrashes -> quarantined(key, notice, now)
+        withdrawn -> withdraw(key, event, now)
+        else -> suspected(key, event, notice, now)
+    }
+}
+
+private fun QuarantineState.quarantined(
+    key: SuspectKey,
+    notice: QuarantineNotice,
+    now: Instant
+): QuarantineState {
+    // A peer's clock may be ahead; its report never extends the quarantine beyond its full length.
+    val until = minOf(notice.until, now + settings.quarantine)
+    if (until <= now) return this
+    return put(key, suspectOrNew(key, now).copy(quarantined = true, until = until), now)
+}
+
+private fun QuarantineState.withdraw(
+    key: SuspectKey,
+    event: CallEvent.QuarantineReported,
+    now: Instant
+): QuarantineState {
+    val known = suspect(key, now) ?: return this
+    if (known.quarantined) return this
+    val left = known.copy(
+        peerCrashes = known.peerCrashes.remove(event.from),
+        heldUntil = Instant.EPOCH
+    )
+    return if (left.crashes == 0) remove(key) else put(key, left, now)
+}
+
+private fun QuarantineState.suspected(
+    key: SuspectKey,
+    event: CallEvent.QuarantineReported,
+    notice: QuarantineNotice,
+    now: Instant
+): QuarantineState {
+    val known = suspectOrNew(key, now)
+    val reported = maxOf(known.peerCrashes[event.from] ?: 0, notice.crashes)
+    val held = if (notice.until == Instant.EPOCH) known.heldUntil else now + settings.hold
+    return put(
+        key,
+        known.copy(
+            peerCrashes = known.peerCrashes.put(event.from, reported),
+            heldUntil = held,
+            until = maxOf(known.until, now + settings.suspicion)
+        ),
+        now
+    )
+}
+
+/** Drops expired suspects and gives the heartbeats a bounded part of the rest, once a second. */
+internal fun CallsState.summarizeQuarantine(now: Instant): CallsDecision {
+    if (quarantine.suspects.isEmpty()) return CallsDecision(this)
+    if (quarantine.lastSummaryAt + SUMMARY_PERIOD > now) return CallsDecision(this)
+    val kept = quarantine.withoutExpired(now)
+        .copy(lastSummaryAt = now, summaries = quarantine.summaries + 1)
+    val keys = kept.suspects.keys.toPersistentList()
+    val first = if (keys.isEmpty()) 0 else kept.summaries % keys.size
+    val chosen = (keys.drop(first) + keys.take(first))
+        .filter { kept.suspects.getValue(it).isOwnToReport() }
+        .take(kept.settings.maxNoticesPerHeartbeat)
+    val notices = chosen.map { key -> heartbeatNotice(key, kept.suspects.getValue(key), now) }
+    return CallsDecision(copy(quarantine = kept))
+        .emit(CallEffect.SummarizeQuarantine(notices.toPersistentList()))
+}
+
+// A suspect that only peers reported is theirs to repeat until it is quarantined.
+private fun Suspect.isOwnToReport(): Boolean = quarantined || ownCrashes > 0
+
+private fun CallsState.heartbeatNotice(key: SuspectKey, suspect: Suspect, now: Instant) = when {
+    suspect.quarantined -> key.notice(suspect.crashes, suspect.until)
+    calls.values.any { it.suspectKey == key } ->
+        key.notice(suspect.ownCrashes, now + quarantine.settings.hold)
+    else -> key.notice(suspect.ownCrashes, Instant.EPOCH)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
@@ -0,0 +1,98 @@
+package org.wisteriahinge.core.retry
+
+import java.time.Duration
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import org.wisteriahinge.core.model.ServiceId
+
+/** Whether slow calls get a second attempt in parallel. */
+public sealed interface Hedging {
+    /** For front ends that carry one attempt of a call at a time. */
+    public data object Off : Hedging
+
+    /** After the time within which a share [quantile] of the service's answers arrive. */
+    public data class AfterQuantile(val quantile: Double) : Hedging
+}
+
+/**
+ * Bounds on further attempts.
+ *
+ * [retryRatio] and [hedgeRatio] are further attempts per call of a service. Their sum stays below
+ * 0.1, so that attempts are at most 1.1 times the calls at every layer. [burst] is how many may be
+ * saved up, so that a service with little traffic can retry at all.
+ */
+public data class RetrySettings(
+    val retryRatio: Double = 0.07,
+    val hedgeRatio: Double = 0.02,
+    val burst: Double = 10.0,
+    val maxAttempts: Int = 3,
+    val hedging: Hedging = Hedging.Off
+)
+
+/** Further attempts that a service may still make. */
+public data class RetryBudget(val balance: Double, val burst: Double) {
+    public fun deposit(amount: Double): RetryBudget = copy(balance = minOf(burst, balance + amount))
+
+    /** The budget after one further attempt; null when it is used up. */
+    public fun withdraw(): RetryBudget? = if (balance >=
+        1.0
+    ) {
+        copy(balance = balance - 1.0)
+    } else {
+        null
+    }
+}
+
+/** Budgets and answer times of one service at this instance. */
+public data class ServiceRetries(
+    val retries: RetryBudget,
+    val hedges: RetryBudget,
+    val answerTime: QuantileEstimate? = null
+)
+
+/** The further attempts of this instance, by service. */
+public data class RetryState(
+    val settings: RetrySettings = RetrySettings(),
+    val services: PersistentMap<ServiceId, ServiceRetries> = persistentHashMapOf()
+) {
+    /** Budgets of [service]. */
+    public fun of(service: ServiceId): ServiceRetries = services[service] ?: ServiceRetries(
+        retries = RetryBudget(settings.burst, settings.burst),
+        hedges = RetryBudget(settings.burst, settings.burst)
+    )
+
+    /** A call of [service] started its first attempt. */
+    public fun callStarted(service: ServiceId): RetryState = with(of(service)) {
+        put(
+            service,
+            copy(
+                retries = retries.deposit(settings.retryRatio),
+                hedges = hedges.deposit(settings.hedgeRatio)
+            )
+        )
+    }
+
+    /** The state after one retry; null when the budget of [service] is used up. */
+    public fun withdrawRetry(service: ServiceId): RetryState? = with(of(service)) {
+        retries.withdraw()?.let { put(service, copy(retries = it)) }
+    }
+
+    /** The state after one hedge; null when the budget of [service] is used up. */
+    public fun withdrawHedge(service: ServiceId): RetryState? = with(of(service)) {
+        hedges.withdraw()?.let { put(service, copy(hedges = it)) }
+    }
+
+    /** An answer of a short operation of [service] began after [elapsed]. */
+    public fun answered(service: ServiceId, elapsed: Duration): RetryState =
+        when (val hedging = settings.hedging) {
+            Hedging.Off -> this
+            is Hedging.AfterQuantile -> with(of(service)) {
+                val estimate = answerTime?.observe(elapsed)
+                    ?: QuantileEstimate(hedging.quantile, elapsed)
+                put(service, copy(answerTime = estimate))
+            }
+        }
+
+    private fun put(service: ServiceId, changed: ServiceRetries): RetryState =
+        copy(services = services.put(service, changed))
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptResult.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptResult.kt
@@ -12,6 +12,9 @@
     public data class Answered(val status: Int, override val load: LoadReport?) : AttemptResult
 
     /** No answer came. */
-    public data class Failed(val failure: AttemptFailure, override val load: LoadReport?) :
-        AttemptResult
+    public data class Failed(
+        val failure: AttemptFailure,
+        override val load: LoadReport?,
+        val attribution: FailureAttribution = FailureAttribution.Target
+    ) : AttemptResult
 }
