Carry quarantine reports between the simulated instances

Cause: the simulation did not know the effects that report suspects. Change: reports reach the other instances after the network delay.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -14,9 +14,11 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
+import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.routing.RoutingState
 
@@ -155,10 +157,19 @@
             }
             is CallEffect.Refuse -> ended(requestOf(effect.callId), Ending.Refused)
             is CallEffect.CancelAttempt -> cancel(AttemptKey(instance, effect.attemptId))
+            is CallEffect.ReportQuarantine -> tellPeers(instance, effect.notices)
+            is CallEffect.SummarizeQuarantine -> tellPeers(instance, effect.notices)
             is CallEffect.Finished, is CallEffect.Count -> Unit
         }
     }
 
+    private fun tellPeers(instance: Int, notices: PersistentList<QuarantineNotice>) {
+        val report = CallEvent.QuarantineReported(InstanceId("instance-$instance"), notices)
+        instances.indices.filter { it != instance }.forEach {
+            schedule(nowMicros + delay(instance, it), SimEvent.ToInstance(it, report))
+        }
+    }
+
     private fun forward(effect: CallEffect.Forward) {
         val isRetry = effect.attempt.number > 1
         result = result.copy(retries = result.retries + if (isRetry) 1 else 0)
