Connect the instance's duties with its peers

Cause: membership, configuration and quarantine decide on messages of peers, but no message reached them in a running instance. Change: the peer network starts with the instance; heartbeats and replies feed the configuration, reports of crashing requests feed the calls, and the calls' reports are broadcast and summarised in heartbeats. Conclusion: a message that finds a ring full is counted, never lost silently.

--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -4,6 +4,7 @@
 import java.io.Closeable
 import java.time.Clock
 import java.time.Duration
+import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallerServer
@@ -14,13 +15,19 @@
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.membership.Members
+import org.wisteriahinge.core.membership.MembershipEvent
+import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
 import org.wisteriahinge.runtime.CallMessage
 import org.wisteriahinge.runtime.CallsDuty
 import org.wisteriahinge.runtime.LogDuty
+import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
 import org.wisteriahinge.runtime.offerWaiting
 
@@ -30,7 +37,9 @@
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
-public class Instance(private val settings: InstanceSettings, clock: Clock) : Closeable {
+public class Instance(private val settings: InstanceSettings, clock: Clock) :
+    PeerListener,
+    Closeable {
     private val registry = PrometheusRegistry()
     private val metrics = CallMetrics(registry)
     private val callsRing = Ring<CallMessage>(
@@ -42,13 +51,16 @@
     private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
+    private val network = settings.peers?.let { PeerNetwork(it, registry, this, clock) }
     private val configuration = ConfigurationPart(
         settings.configurationTiming,
         log,
         logRing,
         registry,
-        clock
-    ) { callsRing.offerWaiting(CallMessage(CallEvent.Configured(it))) }
+        clock,
+        network?.let { ConfigurationPeers(it.id, it.link) },
+        ::configured
+    )
     private val backend = BackendClient(settings.maxConnectionsPerTarget)
     private val server = CallerServer(
         CallerServerSettings(
@@ -69,7 +81,43 @@
     )
 
     private fun perform(effect: CallEffect) {
-        if (effect is CallEffect.Count) metrics.count(effect.counter)
+        when (effect) {
+            is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.ReportQuarantine ->
+                network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
+            is CallEffect.SummarizeQuarantine ->
+                network?.report(MembershipEvent.QuarantineChanged(effect.notices))
+            is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
+        }
+    }
+
+    private fun quarantineReported(from: InstanceId, notices: PersistentList<QuarantineNotice>) {
+        if (notices.isEmpty()) return
+        val offer = callsRing.offer(CallMessage(CallEvent.QuarantineReported(from, notices)))
+        if (offer == Offer.Full) network?.noteRingFull()
+    }
+
+    private fun configured(next: Configuration) {
+        callsRing.offerWaiting(CallMessage(CallEvent.Configured(next)))
+        network?.report(MembershipEvent.RevisionChanged(next.revision))
+    }
+
+    override fun membersChanged(members: Members) {
+        configuration.membersChanged(members)
+    }
+
+    override fun received(message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Heartbeat -> {
+                configuration.received(message)
+                quarantineReported(message.from, message.quarantined)
+            }
+            is PeerMessage.ConfigurationRequest,
+            is PeerMessage.ConfigurationReply -> configuration.received(message)
+            is PeerMessage.Quarantine -> quarantineReported(message.from, message.notices)
+            is PeerMessage.OutcomeRequest,
+            is PeerMessage.OutcomeReply -> Unit
+        }
     }
 
     /** Starts all duties and returns the port that serves callers. */
@@ -77,11 +125,13 @@
         calls.start()
         logDuty.start()
         configuration.start()
+        network?.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -4,7 +4,11 @@
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 
-/** Settings of one instance. [credentialKey] is secret and never printed. */
+/**
+ * Settings of one instance. [credentialKey] is secret and never printed.
+ *
+ * [peers] is null for a deployment that consists of this instance alone.
+ */
 public class InstanceSettings(
     public val zone: Zone,
     public val callerHost: String,
@@ -16,5 +20,6 @@
     public val defaultTimeout: Duration = Duration.ofSeconds(10),
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
-    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    public val peers: PeerSettings? = null
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/PeerNetwork.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PeerNetwork.kt
@@ -98,6 +98,11 @@
         }
     }
 
+    /** Counts a message that a duty's ring had no room for. Peers repeat what they report. */
+    public fun noteRingFull() {
+        metrics.ringFull()
+    }
+
     private fun receive(message: PeerMessage) {
         when (message) {
             is PeerMessage.Heartbeat ->
--- a/core/src/main/kotlin/org/wisteriahinge/core/membership/MembershipDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/membership/MembershipDecide.kt
@@ -12,8 +12,9 @@
         is MembershipEvent.Heard -> heard(event.heartbeat, now)
         is MembershipEvent.PhaseChanged -> changePhase(event.phase)
         is MembershipEvent.RevisionChanged -> MembershipDecision(copy(revision = event.revision))
-        is MembershipEvent.KnowledgeChanged ->
-            MembershipDecision(copy(loads = event.loads, quarantined = event.quarantined))
+        is MembershipEvent.LoadsChanged -> MembershipDecision(copy(loads = event.loads))
+        is MembershipEvent.QuarantineChanged ->
+            MembershipDecision(copy(quarantined = event.notices))
         MembershipEvent.Ticked -> checkPeers(now).then { it.sendHeartbeats() }
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/membership/MembershipEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/membership/MembershipEvent.kt
@@ -27,11 +27,12 @@
     /** This instance put [revision] in force. */
     public data class RevisionChanged(val revision: RevisionNumber) : MembershipEvent
 
-    /** What this instance tells peers of targets and quarantined requests, most urgent first. */
-    public data class KnowledgeChanged(
-        val loads: PersistentList<TargetLoad>,
-        val quarantined: PersistentList<QuarantineNotice>
-    ) : MembershipEvent
+    /** What heartbeats tell of targets, most useful first. */
+    public data class LoadsChanged(val loads: PersistentList<TargetLoad>) : MembershipEvent
+
+    /** What heartbeats tell of requests that crashed servers, most urgent first. */
+    public data class QuarantineChanged(val notices: PersistentList<QuarantineNotice>) :
+        MembershipEvent
 
     /** A heartbeat period passed. */
     public data object Ticked : MembershipEvent
