Add admission: short fair queues, a limit that follows load, long work bounded

Cause: every call went to a target at once, so a peak filled the targets' queues, one customer could take every slot and uploads could take all slots.

Change: the stages headroom and admission. A concurrency limit per service follows the load that targets report and their sheds. Calls beyond it wait in a queue bounded by time and length, shared by plan weight; what cannot be served in time is refused at once as overloaded and not run. A full queue gives up a call of the customer that holds the most. Long work goes only to targets with a slot to spare and has bounded call places and its own queue. A timed out attempt is never retried, because the deadline is the call's own.

--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
@@ -0,0 +1,171 @@
+package org.wisteriahinge.core.admission
+
+import java.time.Duration
+import java.time.Instant
+import org.wisteriahinge.core.call.CallEnd
+import org.wisteriahinge.core.call.CallInProgress
+import org.wisteriahinge.core.call.CallsDecision
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.call.StageOutcome
+import org.wisteriahinge.core.call.refuse
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RefusalReason
+import org.wisteriahinge.core.model.Service
+import org.wisteriahinge.core.model.WorkClass
+
+/** Delay told to callers; HTTP carries whole seconds, and a peak usually moves on within one. */
+private val RETRY_AFTER_OVERLOAD: Duration = Duration.ofSeconds(1)
+
+internal val overloadedRefusal: Refusal =
+    Refusal(RefusalReason.Overloaded, Execution.NotRun, RETRY_AFTER_OVERLOAD)
+
+/** Refuses what cannot be served in time before anything is done for it. */
+internal fun CallsState.enterHeadroom(call: CallInProgress, now: Instant): StageOutcome {
+    val known = copy(admission = admission.withService(call.matched.service).withLong(call))
+    val decision = CallsDecision(known)
+    val free = known.hasRoom(call, now)
+    return when {
+        known.longPlacesUsedUp(call) -> StageOutcome.Refused(decision, overloadedRefusal)
+        free || known.canQueue(call, now) -> StageOutcome.Passed(decision)
+        else -> StageOutcome.Refused(decision, overloadedRefusal)
+    }
+}
+
+/** Lets [call] go to the targets, queues it, or refuses it. */
+internal fun CallsState.enterAdmission(call: CallInProgress, now: Instant): StageOutcome {
+    val service = call.matched.service.id
+    val workClass = call.matched.operation.workClass
+    val known = copy(admission = admission.withService(call.matched.service))
+    val queue = known.admission.services.getValue(service).of(workClass).queue
+    if (queue.size == 0 && known.hasRoom(call, now)) {
+        return StageOutcome.Passed(CallsDecision(known))
+    }
+    if (!known.canQueue(call, now)) {
+        return StageOutcome.Refused(CallsDecision(known), overloadedRefusal)
+    }
+    val displaced = if (known.queueIsFull(call)) known.displaced(call) else null
+    val freed = displaced?.let { known.refuse(it.callId, overloadedRefusal, now) }
+        ?: CallsDecision(known)
+    return StageOutcome.Suspended(freed.update { it.enqueue(call) })
+}
+
+/** Gives back the place of a call that ended, or takes it out of its queue. */
+internal fun CallsState.leaveAdmission(
+    call: CallInProgress,
+    end: CallEnd,
+    now: Instant
+): CallsDecision {
+    val vacated = when (end) {
+        CallEnd.Answered -> admission.answered(call.request.callId, now)
+        is CallEnd.Refused, is CallEnd.CallerGone -> admission.vacate(call.request.callId)
+    }
+    return CallsDecision(copy(admission = vacated.dequeue(call).withoutLong(call)))
+}
+
+/** [call] starts its first attempt; it occupies a target until it is answered or ends. */
+internal fun CallsState.occupyPlace(call: CallInProgress, now: Instant): CallsState {
+    val place = Place(call.matched.service.id, call.matched.operation.workClass, now)
+    val known = admission.withService(call.matched.service)
+    return copy(admission = known.occupy(call.request.callId, place))
+}
+
+private fun AdmissionState.withService(service: Service): AdmissionState {
+    if (service.id in services) return this
+    val slots = service.targets.sumOf { it.slots }
+    return put(service.id, ServiceAdmission(ConcurrencyLimit.initial(slots)))
+}
+
+/** Whether a call like [call] may go to the targets now. */
+internal fun CallsState.hasRoom(call: CallInProgress, now: Instant): Boolean {
+    val service = admission.services.getValue(call.matched.service.id)
+    return when (call.matched.operation.workClass) {
+        WorkClass.Short -> service.short.inUse < service.limit.value
+        WorkClass.Long -> closedTargets(call, now).size < call.matched.service.targets.size
+    }
+}
+
+private fun CallsState.canQueue(call: CallInProgress, now: Instant): Boolean =
+    isServedInTime(call, now) && (!queueIsFull(call) || displaced(call) != null)
+
+private fun CallsState.serviceOf(call: CallInProgress): ServiceAdmission =
+    admission.services.getValue(call.matched.service.id)
+
+private fun ServiceAdmission.parallel(workClass: WorkClass): Double = when (workClass) {
+    WorkClass.Short -> limit.value
+    WorkClass.Long -> maxOf(1, long.inUse).toDouble()
+}
+
+/** Whether [call] would be answered before its deadline if it queued now. */
+private fun CallsState.isServedInTime(call: CallInProgress, now: Instant): Boolean {
+    val service = serviceOf(call)
+    val workClass = call.matched.operation.workClass
+    val queue = service.of(workClass).queue
+    val ahead = queue.ahead(call.caller.customer.id, call.caller.plan.weight)
+    val meanTime = service.meanTime(workClass)
+    val wait = waitFor(
+        meanTime,
+        minOf(ahead, queue.size.toDouble()) + 1,
+        service.parallel(workClass)
+    )
+    return now + wait + meanTime <= call.request.deadline
+}
+
+private fun CallsState.queueIsFull(call: CallInProgress): Boolean {
+    val service = serviceOf(call)
+    val size = service.of(call.matched.operation.workClass).queue.size
+    return when (call.matched.operation.workClass) {
+        WorkClass.Long -> size >= admission.settings.maxLongWaiting
+        WorkClass.Short -> {
+            val meanTime = service.meanTime(WorkClass.Short)
+            val wait = waitFor(meanTime, size + 1.0, service.limit.value)
+            wait > admission.settings.maxWait || size >= admission.settings.maxWaiting
+        }
+    }
+}
+
+private fun waitFor(meanTime: Duration, calls: Double, parallel: Double): Duration =
+    Duration.ofNanos((meanTime.toNanos() * calls / parallel).toLong())
+
+private fun CallsState.longPlacesUsedUp(call: CallInProgress): Boolean =
+    when (call.matched.operation.workClass) {
+        WorkClass.Short -> false
+        WorkClass.Long -> admission.longCalls.size > admission.settings.maxLongCalls
+    }
+
+private fun AdmissionState.withLong(call: CallInProgress): AdmissionState =
+    when (call.matched.operation.workClass) {
+        WorkClass.Short -> this
+        WorkClass.Long -> copy(longCalls = longCalls.add(call.request.callId))
+    }
+
+private fun AdmissionState.withoutLong(call: CallInProgress): AdmissionState =
+    when (call.matched.operation.workClass) {
+        WorkClass.Short -> this
+        WorkClass.Long -> copy(longCalls = longCalls.remove(call.request.callId))
+    }
+
+private fun CallsState.displaced(call: CallInProgress): Waiting? = admission.services
+    .getValue(call.matched.service.id)
+    .of(call.matched.operation.workClass).queue
+    .displacedBy(call.caller.customer.id, call.caller.plan.weight)
+
+private fun CallsState.enqueue(call: CallInProgress): CallsState {
+    val waiting = Waiting(
+        call.request.callId,
+        call.caller.customer.id,
+        call.caller.plan.weight,
+        call.request.deadline
+    )
+    val next = admission.update(call.matched.service.id, call.matched.operation.workClass) {
+        it.copy(queue = it.queue.add(waiting))
+    }
+    return copy(admission = next)
+}
+
+private fun AdmissionState.dequeue(call: CallInProgress): AdmissionState {
+    if (call.matched.service.id !in queued) return this
+    return update(call.matched.service.id, call.matched.operation.workClass) {
+        it.copy(queue = it.queue.remove(call.request.callId, call.caller.customer.id))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionState.kt
@@ -0,0 +1,128 @@
+package org.wisteriahinge.core.admission
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.core.call.Attempt
+import org.wisteriahinge.core.model.AttemptId
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.WorkClass
+
+/** Weight of one observation in the mean time at a target. */
+private const val MEAN_WEIGHT = 0.05
+
+/** Time at a target that is assumed before the first answer. */
+private val ASSUMED_SHORT: Duration = Duration.ofMillis(20)
+private val ASSUMED_LONG: Duration = Duration.ofSeconds(1)
+
+/** A call that holds a place at the targets of [service] since [since]. */
+public data class Place(val service: ServiceId, val workClass: WorkClass, val since: Instant)
+
+/** Calls of one service and class: those at targets, those waiting, and their mean time. */
+public data class ClassAdmission(
+    val inUse: Int = 0,
+    val queue: FairQueue = FairQueue(),
+    val meanTime: Duration? = null
+) {
+    internal fun observed(time: Duration): ClassAdmission {
+        val previous = (meanTime ?: time).toNanos()
+        val next = previous + MEAN_WEIGHT * (time.toNanos() - previous)
+        return copy(meanTime = Duration.ofNanos(next.toLong()))
+    }
+}
+
+/** Admission of one service. */
+public data class ServiceAdmission(
+    val limit: ConcurrencyLimit,
+    val short: ClassAdmission = ClassAdmission(),
+    val long: ClassAdmission = ClassAdmission()
+) {
+    public fun of(workClass: WorkClass): ClassAdmission = when (workClass) {
+        WorkClass.Short -> short
+        WorkClass.Long -> long
+    }
+
+    /** Mean time of a call at a target. */
+    public fun meanTime(workClass: WorkClass): Duration = of(workClass).meanTime
+        ?: when (workClass) {
+            WorkClass.Short -> ASSUMED_SHORT
+            WorkClass.Long -> ASSUMED_LONG
+        }
+
+    internal fun with(workClass: WorkClass, changed: ClassAdmission): ServiceAdmission =
+        when (workClass) {
+            WorkClass.Short -> copy(short = changed)
+            WorkClass.Long -> copy(long = changed)
+        }
+
+    internal val waiting: Int get() = short.queue.size + long.queue.size
+}
+
+/**
+ * What this instance has admitted, by service. [queued] are the services with waiting calls;
+ * [longAttempts] are the targets of the attempts of long work, [longCalls] all calls of long work.
+ */
+public data class AdmissionState(
+    val settings: AdmissionSettings = AdmissionSettings(),
+    val services: PersistentMap<ServiceId, ServiceAdmission> = persistentHashMapOf(),
+    val places: PersistentMap<CallId, Place> = persistentHashMapOf(),
+    val queued: PersistentSet<ServiceId> = persistentSetOf(),
+    val longAttempts: PersistentMap<AttemptId, TargetId> = persistentHashMapOf(),
+    val longCalls: PersistentSet<CallId> = persistentSetOf()
+) {
+    internal fun put(id: ServiceId, changed: ServiceAdmission): AdmissionState = copy(
+        services = services.put(id, changed),
+        queued = if (changed.waiting > 0) queued.add(id) else queued.remove(id)
+    )
+
+    internal fun update(
+        id: ServiceId,
+        workClass: WorkClass,
+        change: (ClassAdmission) -> ClassAdmission
+    ): AdmissionState {
+        val service = services[id] ?: return this
+        return put(id, service.with(workClass, change(service.of(workClass))))
+    }
+
+    /** [callId] goes to the targets. */
+    internal fun occupy(callId: CallId, place: Place): AdmissionState =
+        copy(places = places.put(callId, place))
+            .update(place.service, place.workClass) { it.copy(inUse = it.inUse + 1) }
+
+    /** [callId] no longer occupies a target. */
+    internal fun vacate(callId: CallId): AdmissionState {
+        val place = places[callId] ?: return this
+        return copy(places = places.remove(callId))
+            .update(place.service, place.workClass) { it.copy(inUse = it.inUse - 1) }
+    }
+
+    /** [callId] was answered at [now]; only answers show how long work takes. */
+    internal fun answered(callId: CallId, now: Instant): AdmissionState {
+        val place = places[callId] ?: return this
+        return update(place.service, place.workClass) {
+            it.observed(Duration.between(place.since, now))
+        }.vacate(callId)
+    }
+
+    internal fun adjustLimit(
+        service: ServiceId,
+        change: (ServiceAdmission) -> ConcurrencyLimit
+    ): AdmissionState {
+        val known = services[service] ?: return this
+        return put(service, known.copy(limit = change(known)))
+    }
+
+    internal fun attemptStarted(attempt: Attempt, workClass: WorkClass): AdmissionState =
+        when (workClass) {
+            WorkClass.Short -> this
+            WorkClass.Long -> copy(longAttempts = longAttempts.put(attempt.id, attempt.target.id))
+        }
+
+    internal fun attemptEnded(attempt: AttemptId): AdmissionState =
+        if (attempt in longAttempts) copy(longAttempts = longAttempts.remove(attempt)) else this
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/FairQueue.kt
@@ -0,0 +1,104 @@
+package org.wisteriahinge.core.admission
+
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.CustomerId
+
+/** A call that waits for a slot. [weight] is that of its customer's plan. */
+public data class Waiting(
+    val callId: CallId,
+    val customer: CustomerId,
+    val weight: Int,
+    val deadline: Instant
+)
+
+/**
+ * The waiting calls of one customer, oldest first. [finish] is the virtual time at which the
+ * customer has had its share for all calls taken so far.
+ */
+public data class CustomerQueue(
+    val waiting: PersistentList<Waiting>,
+    val weight: Int,
+    val finish: Double
+) {
+    internal val load: Double get() = waiting.size.toDouble() / weight
+}
+
+/** The outcome of taking a call from a [FairQueue]. */
+public data class Taken(val waiting: Waiting, val queue: FairQueue)
+
+/**
+ * A queue that shares what is taken from it between customers in proportion to their weights.
+ *
+ * Each call advances its customer's virtual finish time by 1 / weight; the customer with the least
+ * is next. [virtualTime] is where customers that join start, so that idleness earns no credit.
+ */
+public data class FairQueue(
+    val customers: PersistentMap<CustomerId, CustomerQueue> = persistentHashMapOf(),
+    val virtualTime: Double = 0.0,
+    val size: Int = 0
+) {
+    public fun add(call: Waiting): FairQueue {
+        val weight = call.weight.coerceAtLeast(1)
+        val known = customers[call.customer]
+            ?: CustomerQueue(persistentListOf(), weight, virtualTime)
+        val longer = known.copy(waiting = known.waiting.add(call), weight = weight)
+        return copy(customers = customers.put(call.customer, longer), size = size + 1)
+    }
+
+    /** Takes the call that is next by fair share; null when the queue is empty. */
+    public fun take(): Taken? {
+        val (customer, queue) = customers.minByOrNull { it.value.finish } ?: return null
+        val rest = queue.copy(
+            waiting = queue.waiting.removeAt(0),
+            finish = queue.finish + 1.0 / queue.weight
+        )
+        return Taken(
+            queue.waiting.first(),
+            copy(virtualTime = maxOf(virtualTime, queue.finish)).replace(customer, rest)
+        )
+    }
+
+    /** Removes the call [callId] of [customer]; unchanged when it is not waiting. */
+    public fun remove(callId: CallId, customer: CustomerId): FairQueue {
+        val queue = customers[customer] ?: return this
+        val index = queue.waiting.indexOfFirst { it.callId == callId }
+        if (index < 0) return this
+        return replace(customer, queue.copy(waiting = queue.waiting.removeAt(index)))
+    }
+
+    /**
+     * The newest call of the customer that waits with the most calls for its weight, if that is
+     * more than [customer] would have with one call more; null when [customer] has the most.
+     */
+    public fun displacedBy(customer: CustomerId, weight: Int): Waiting? {
+        val own = customers[customer]?.waiting?.size ?: 0
+        val load = (own + 1.0) / weight.coerceAtLeast(1)
+        return customers.values.maxByOrNull { it.load }?.takeIf { it.load > load }?.waiting?.last()
+    }
+
+    /** Calls that are taken before a new one of [customer], by fair share. */
+    public fun ahead(customer: CustomerId, weight: Int): Double {
+        val own = customers[customer]?.waiting?.size ?: 0
+        val others = customers.filterKeys { it != customer }.values
+        val share = weight.coerceAtLeast(1).toDouble()
+        return own + others.sumOf { minOf(it.waiting.size.toDouble(), own * it.weight / share + 1) }
+    }
+
+    /** Calls whose deadline is at or before [limit]. */
+    public fun expired(limit: Instant): List<Waiting> =
+        customers.values.flatMap { queue -> queue.waiting.filter { it.deadline <= limit } }
+
+    private fun replace(customer: CustomerId, queue: CustomerQueue): FairQueue {
+        val kept = if (queue.waiting.isEmpty()) {
+            customers.remove(customer)
+        } else {
+            customers.put(customer, queue)
+        }
+        return copy(customers = kept, size = size - 1)
+    }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.call
 
 import java.time.Instant
+import org.wisteriahinge.core.admission.answerBegan
 import org.wisteriahinge.core.model.CallId
 
 /** Why an attempt ended without an answer for the caller. */
@@ -26,7 +27,12 @@
         AttemptAction.DeliverAnswer -> deliver(context)
         AttemptAction.CancelOthers -> cancelOthers(context)
         AttemptAction.ReleaseTarget ->
-            CallsDecision(copy(routing = routing.attemptEnded(context.attempt.id)))
+            CallsDecision(
+                copy(
+                    routing = routing.attemptEnded(context.attempt.id),
+                    admission = admission.attemptEnded(context.attempt.id)
+                )
+            )
         AttemptAction.ConsiderRetry -> considerRetry(context)
         AttemptAction.CountTruncated -> countTruncated(context)
         AttemptAction.CancelRequest ->
@@ -35,9 +41,9 @@
     }
 
 private fun CallsState.deliver(context: AttemptContext): CallsDecision {
-    val delivered = CallsDecision(this)
+    val call = calls[context.callId] ?: return CallsDecision(this)
+    val delivered = CallsDecision(answerBegan(call, context.now))
         .emit(CallEffect.Deliver(context.callId, context.attempt.id))
-    val call = calls[context.callId] ?: return delivered
     val wonByHedge = call.attempts.size > 1 && context.attempt.number > 1
     if (!wonByHedge) return delivered
     return delivered.emit(CallEffect.Count(CallCounter.HedgeWon(call.matched.service.id)))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -2,6 +2,10 @@
 
 import java.time.Duration
 import java.time.Instant
+import org.wisteriahinge.core.admission.closedTargets
+import org.wisteriahinge.core.admission.observeLoad
+import org.wisteriahinge.core.admission.observeShed
+import org.wisteriahinge.core.admission.occupyPlace
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
@@ -19,14 +23,19 @@
 /** Delay told to callers when no target is available; targets usually return within a second. */
 private val RETRY_AFTER_NO_TARGET: Duration = Duration.ofSeconds(1)
 
-/** The target that a further attempt of this call needs; those tried before are left out. */
-internal fun CallInProgress.routeRequest(): RouteRequest =
-    RouteRequest(matched.service.id, matched.operation.workClass, tried)
+/** The target that an attempt of [call] needs; those tried before are left out. */
+internal fun CallsState.routeRequest(call: CallInProgress, now: Instant): RouteRequest =
+    RouteRequest(
+        call.matched.service.id,
+        call.matched.operation.workClass,
+        call.tried.addAll(closedTargets(call, now))
+    )
 
 /** Chooses a target for the first attempt of [call] and forwards it, or refuses without one. */
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
     val started = copy(retries = retries.callStarted(call.matched.service.id))
-    return when (val choice = routing.choose(call.routeRequest())) {
+        .occupyPlace(call, now)
+    return when (val choice = routing.choose(routeRequest(call, now))) {
         is RouteChoice.Chosen -> started.forward(call, choice, now)
         RouteChoice.NoTarget -> refuse(
             call.request.callId,
@@ -60,7 +69,8 @@
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
-        routing = choice.routing.attemptStarted(attempt.id, choice.target.id, now)
+        routing = choice.routing.attemptStarted(attempt.id, choice.target.id, now),
+        admission = admission.attemptStarted(attempt, call.matched.operation.workClass)
     )
     return CallsDecision(next).emit(CallEffect.Forward(call.request.callId, attempt))
 }
@@ -72,6 +82,7 @@
     val counted = CallCounter.Answered(call.matched.service.id, event.status)
     val seen = copy(routing = routing.attemptResult(event.attemptId, result))
         .observeAnswerTime(call, inProgress, now)
+        .observeLoad(call, event.load)
     val cause = RetryCause.ErrorAnswer
     val rejected = isServerError(event.status) && seen.canReplaceAnswer(call, cause, now)
     val trigger = if (rejected) AttemptTrigger.Rejected else AttemptTrigger.Answered
@@ -119,6 +130,7 @@
         .emit(CallEffect.Count(counted))
         .then { if (event.failure.isCrash()) it.crashed(call, now) else CallsDecision(it) }
         .update { it.noteFailure(event) }
+        .update { if (event.failure.isShed()) it.observeShed(call) else it }
         .then {
             val cause = RetryCause.Failure(event.failure)
             it.stepAttempt(event.callId, event.attemptId, AttemptTrigger.Failed, now, cause)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
@@ -7,6 +7,9 @@
     /** Whether the target may have crashed while it ran the request. */
     internal fun isCrash(): Boolean = this == Disconnected
 
+    /** Whether the target had no room for the request. */
+    internal fun isShed(): Boolean = this == Shed
+
     /** No connection was made, so nothing was sent. */
     public data object ConnectFailed : AttemptFailure("connect_failed", Execution.NotRun)
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -30,7 +30,7 @@
     cause: RetryCause,
     now: Instant
 ): RetryVerdict {
-    val denial = denialByCall(call, cause, now) ?: denialByState(call)
+    val denial = denialByCall(call, cause, now) ?: denialByState(call, now)
     return if (denial == null) {
         RetryVerdict.Allowed(cause.retryReason())
     } else {
@@ -48,14 +48,15 @@
     (call.mayHaveRun || !cause.isNotRun()) && !call.isRepeatable() -> RetryDenial.NotRepeatable
     !call.request.replayable -> RetryDenial.NotReplayable
     call.attemptsStarted >= retries.settings.maxAttempts -> RetryDenial.AttemptsUsedUp
-    now + MIN_TIME_FOR_ATTEMPT >= call.request.deadline -> RetryDenial.DeadlineTooClose
+    cause.isTimeout() || now + MIN_TIME_FOR_ATTEMPT >= call.request.deadline ->
+        RetryDenial.DeadlineTooClose
     isQuarantined(call, now) -> RetryDenial.Suspected
     else -> null
 }
 
-private fun CallsState.denialByState(call: CallInProgress): RetryDenial? = when {
+private fun CallsState.denialByState(call: CallInProgress, now: Instant): RetryDenial? = when {
     retries.withdrawRetry(call.matched.service.id) == null -> RetryDenial.BudgetSpent
-    else -> when (routing.choose(call.routeRequest())) {
+    else -> when (routing.choose(routeRequest(call, now))) {
         is RouteChoice.Chosen -> null
         RouteChoice.NoTarget -> RetryDenial.NoOtherTarget
     }
@@ -71,6 +72,10 @@
     RetryCause.ErrorAnswer -> false
 }
 
+// The deadline is the call's own, so that no time is left even if the clock is slightly behind.
+private fun RetryCause.isTimeout(): Boolean =
+    this is RetryCause.Failure && failure == AttemptFailure.TimedOut
+
 private fun RetryCause.retryReason(): RetryReason = when (this) {
     is RetryCause.Failure -> failure.retryReason()
     RetryCause.ErrorAnswer -> RetryReason.ServerError
@@ -109,7 +114,7 @@
     val service = call.matched.service.id
     val counter = CallCounter.Retried(service, verdict.reason)
     val spent = copy(retries = retries.withdrawRetry(service) ?: retries)
-    return when (val choice = spent.routing.choose(call.routeRequest())) {
+    return when (val choice = spent.routing.choose(routeRequest(call, now))) {
         is RouteChoice.Chosen ->
             CallsDecision(spent).emit(CallEffect.Count(counter))
                 .then { it.forward(call, choice, now) }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -31,7 +31,7 @@
     val service = call.matched.service.id
     val considered = call.copy(hedgeConsidered = true)
     val spent = retries.withdrawHedge(service)
-    val choice = routing.choose(call.routeRequest())
+    val choice = routing.choose(routeRequest(call, now))
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -9,11 +9,22 @@
 public sealed class CallStage(public val wireName: String) {
     /** Stops requests that crashed servers. */
     public data object Quarantine : CallStage("quarantine")
+
+    /** Refuses what cannot be served in time before anything is claimed for it. */
+    public data object Headroom : CallStage("headroom")
+
+    /** Queues calls until a place at the targets is free. */
+    public data object Admission : CallStage("admission")
 }
 
-/** The order in which a call passes the stages. */
+/**
+ * The order in which a call passes the stages.
+ *
+ * A stage that waits for another duty, such as the log, comes before admission, so that a call
+ * holds no place at the targets while it waits.
+ */
 internal val callStages: PersistentList<CallStage> by lazy {
-    persistentListOf(CallStage.Quarantine)
+    persistentListOf(CallStage.Quarantine, CallStage.Headroom, CallStage.Admission)
 }
 
 /** What a stage decides about a call. [decision] holds the state that the stage reached. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
@@ -3,6 +3,9 @@
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.admission.enterAdmission
+import org.wisteriahinge.core.admission.enterHeadroom
+import org.wisteriahinge.core.admission.leaveAdmission
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.quarantine.enterQuarantine
 import org.wisteriahinge.core.quarantine.leaveQuarantine
@@ -48,6 +51,8 @@
 private fun CallsState.enter(stage: CallStage, call: CallInProgress, now: Instant): StageOutcome =
     when (stage) {
         CallStage.Quarantine -> enterQuarantine(call, now)
+        CallStage.Headroom -> enterHeadroom(call, now)
+        CallStage.Admission -> enterAdmission(call, now)
     }
 
 private fun CallsState.leave(
@@ -57,4 +62,6 @@
     now: Instant
 ): CallsDecision = when (stage) {
     CallStage.Quarantine -> leaveQuarantine(call, end, now)
+    CallStage.Headroom -> CallsDecision(this)
+    CallStage.Admission -> leaveAdmission(call, end, now)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.mapBoth
 import java.time.Instant
+import org.wisteriahinge.core.admission.dispatchQueued
+import org.wisteriahinge.core.admission.refuseExpired
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.Execution
@@ -11,7 +13,10 @@
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
 
 /** Decides on [event] at [now]. Pure: reads no clock and performs no I/O. */
-public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision = when (event) {
+public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
+    decideEvent(event, now).then { it.dispatchQueued(now) }
+
+private fun CallsState.decideEvent(event: CallEvent, now: Instant): CallsDecision = when (event) {
     is CallEvent.Arrived -> arrive(event.request, now)
     is CallEvent.Answered -> attemptAnswered(event, now)
     is CallEvent.AttemptFailed -> attemptFailed(event, now)
@@ -49,8 +54,9 @@
         .emit(CallEffect.Count(CallCounter.Refused(refusal.reason)))
         .emit(CallEffect.Refuse(callId, refusal))
 
-private fun CallsState.ticked(now: Instant): CallsDecision =
-    summarizeQuarantine(now).then { it.startHedges(now) }
+private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
+    .then { it.refuseExpired(now) }
+    .then { it.startHedges(now) }
 
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.core.admission.AdmissionState
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
@@ -47,7 +48,8 @@
     val calls: PersistentMap<CallId, CallInProgress> = persistentHashMapOf(),
     val lastAttemptId: Long = 0,
     val retries: RetryState = RetryState(),
-    val quarantine: QuarantineState = QuarantineState()
+    val quarantine: QuarantineState = QuarantineState(),
+    val admission: AdmissionState = AdmissionState()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/CallFixture.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/CallFixture.kt
@@ -17,6 +17,7 @@
 import org.wisteriahinge.core.model.Customers
 import org.wisteriahinge.core.model.Entitlements
 import org.wisteriahinge.core.model.IdempotencyKey
+import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.Operation
 import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.OperationRef
@@ -144,8 +145,8 @@
     fun fail(call: Long, attempt: Attempt, failure: AttemptFailure, replayable: Boolean = true) =
         play(CallEvent.AttemptFailed(CallId(call), attempt.id, failure, replayable))
 
-    fun answer(call: Long, attempt: Attempt, status: Int = 200) =
-        play(CallEvent.Answered(CallId(call), attempt.id, status, null))
+    fun answer(call: Long, attempt: Attempt, status: Int = 200, load: LoadReport? = null) =
+        play(CallEvent.Answered(CallId(call), attempt.id, status, load))
 
     fun complete(call: Long, attempt: Attempt) = play(CallEvent.Completed(CallId(call), attempt.id))
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/quarantine/QuarantineTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quarantine/QuarantineTest.kt
@@ -11,6 +11,7 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallFixture
 import org.wisteriahinge.core.call.CallPlayer
+import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.RefusalReason
@@ -141,7 +142,7 @@
         val sent = (1L..settings.maxSuspects + 100L).sumOf { id ->
             val first = player.arrive(CallFixture.request(id)).forwarded.single()
             player.fail(id, first, CRASH)
-            reports(player).size
+            reports(player).size.also { player.play(CallEvent.CallerGone(CallId(id))) }
         }
         expectThat(player.state.quarantine.suspects.size)
             .isLessThanOrEqualTo(settings.maxSuspects)
