Pass calls on whole, typed and bounded between callers and targets

Cause: the first path buffered every body without a bound, dropped most headers, knew one attempt at a time, reused no connection to a target and could not tell a truncated answer or an unsent request. Change: a Ktor client engine on Netty with at most a set number of connections to a target, where an exchange knows whether its request was sent; answers up to 64 KiB are read whole before their head is reported, longer ones stream on demand; each Forward runs in a coroutine of its own; bodies are buffered within a bound or streamed once; framing, own headers, ambiguous paths and slow senders are refused before anything is forwarded. Tests: 56 raw-socket tests in adapters pass (12 parallel callers with 25 requests each over 5 connections, truncated, cancelled and late answers, 36 refused inputs, full ring).

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -1,48 +1,69 @@
 package org.wisteriahinge.adapters.backend
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.plugins.HttpTimeout
-import io.ktor.client.plugins.timeout
-import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
-import io.ktor.client.request.setBody
 import io.ktor.client.request.url
-import io.ktor.client.statement.HttpResponse
 import io.ktor.http.HttpMethod
 import java.io.Closeable
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import org.wisteriahinge.core.call.Attempt
 
-/** Sends attempts to targets. Answers are handed over before their bodies are read. */
-public class BackendClient(maxConnectionsPerTarget: Int) : Closeable {
-    private val client = HttpClient(CIO) {
+/** Sends attempts to targets. Long answers are handed over before their bodies are read. */
+public class BackendClient(limits: ConnectionLimits) : Closeable {
+    private val engine = NettyClientEngine(limits)
+    private val client = HttpClient(engine) {
         expectSuccess = false
         followRedirects = false
-        install(HttpTimeout)
-        engine {
-            endpoint.maxConnectionsPerRoute = maxConnectionsPerTarget
-        }
+        useDefaultTransformers = false
     }
 
-    /** Sends [request] to the target of [attempt] and passes the answer's head to [onAnswer]. */
+    /**
+     * Sends [request] to the target of [attempt] and passes the answer to [onAnswer].
+     *
+     * The connection is closed when [onAnswer] returns without having read the whole body, and
+     * when the coroutine is cancelled.
+     *
+     * @throws AttemptFailedException if no answer came.
+     * @throws BodyFaultException if the caller did not send the body as announced.
+     */
     public suspend fun send(
         attempt: Attempt,
         request: BackendRequest,
-        onAnswer: suspend (HttpResponse) -> Unit
+        onAnswer: suspend (BackendAnswer) -> Unit
     ) {
-        client.prepareRequest { fill(attempt, request) }.execute { onAnswer(it) }
+        val exchange = TargetExchange(attempt.target.address, request)
+        try {
+            coroutineScope {
+                val upload = launch { upload(exchange) }
+                client.prepareRequest {
+                    method = HttpMethod.parse(request.method)
+                    url("http", attempt.target.address.host, attempt.target.address.port)
+                    attributes.put(TargetExchangeKey, exchange)
+                }.execute { onAnswer(exchange.answer.await()) }
+                upload.cancel()
+            }
+        } finally {
+            exchange.abandon()
+        }
     }
 
-    private fun HttpRequestBuilder.fill(attempt: Attempt, request: BackendRequest) {
-        method = HttpMethod.parse(request.method)
-        url("http://${attempt.target.address}${request.pathAndQuery}")
-        request.headers.forEach { (name, value) -> header(name, value) }
-        request.body?.let { setBody(it) }
-        timeout { requestTimeoutMillis = request.remainingMillis }
+    private suspend fun upload(exchange: TargetExchange) {
+        when (val body = exchange.request.body) {
+            RequestBody.None, is RequestBody.Whole -> Unit
+            is RequestBody.Once -> try {
+                RequestWriter(exchange).writeBody(body)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: BodyFaultException) {
+                if (!exchange.answer.completeExceptionally(e)) throw e
+            }
+        }
     }
 
     override fun close() {
         client.close()
+        engine.close()
     }
 }
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -0,0 +1,146 @@
+package org.wisteriahinge.adapters.backend
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.DecoderException
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import org.wisteriahinge.core.call.AttemptFailure
+
+private const val FIRST_FINAL_STATUS = 200
+
+/** What the connection waits for. */
+private sealed interface Reading {
+    /** No request is outstanding. */
+    data object Idle : Reading
+
+    /** The head of the answer to [exchange]. */
+    data class Head(val exchange: TargetExchange) : Reading
+
+    /** The end of an informational answer (status 1xx), after which the head follows. */
+    data class Interim(val exchange: TargetExchange) : Reading
+
+    /** The body of the answer. */
+    data class Body(
+        val exchange: TargetExchange,
+        val receiver: AnswerReceiver,
+        val reusable: Boolean
+    ) : Reading
+}
+
+/**
+ * Reads the answers on one connection, one at a time. Called on the connection's event loop.
+ *
+ * [onEnd] returns the connection to its pool; a connection that is not reusable is closed first.
+ */
+internal class TargetConnectionHandler(private val onEnd: (Channel) -> Unit) :
+    ChannelInboundHandlerAdapter() {
+    private var reading: Reading = Reading.Idle
+    private var requestWritten = false
+
+    /** The next answer belongs to [exchange]. */
+    fun begin(exchange: TargetExchange) {
+        requestWritten = false
+        reading = Reading.Head(exchange)
+    }
+
+    /** The whole request was written; only then may the connection be used again. */
+    fun requestWritten() {
+        requestWritten = true
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        try {
+            if (message is HttpResponse) head(context, message)
+            if (message is HttpContent) content(context, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun head(context: ChannelHandlerContext, response: HttpResponse) {
+        when (val current = reading) {
+            is Reading.Head -> answerHead(context, response, current.exchange)
+            Reading.Idle, is Reading.Interim, is Reading.Body -> context.close()
+        }
+    }
+
+    private fun answerHead(
+        context: ChannelHandlerContext,
+        response: HttpResponse,
+        exchange: TargetExchange
+    ) {
+        if (response.decoderResult().isFailure) {
+            return invalid(context, exchange, "the head is not valid HTTP")
+        }
+        if (response.status().code() < FIRST_FINAL_STATUS) {
+            reading = Reading.Interim(exchange)
+            return
+        }
+        val receiver = AnswerReceiver.of(context.channel(), exchange, response)
+            ?: return invalid(context, exchange, "the body has neither a length nor chunks")
+        reading = Reading.Body(exchange, receiver, HttpUtil.isKeepAlive(response))
+        receiver.start()
+    }
+
+    private fun content(context: ChannelHandlerContext, content: HttpContent) {
+        when (val current = reading) {
+            is Reading.Interim ->
+                if (content is LastHttpContent) reading = Reading.Head(current.exchange)
+            is Reading.Body -> body(context, content, current)
+            Reading.Idle, is Reading.Head -> Unit
+        }
+    }
+
+    private fun body(context: ChannelHandlerContext, content: HttpContent, body: Reading.Body) {
+        if (content.decoderResult().isFailure) return broken(context, "malformed chunk")
+        body.receiver.accept(content.content())
+        if (content is LastHttpContent) {
+            end(context, body)
+            body.receiver.complete()
+        }
+    }
+
+    private fun end(context: ChannelHandlerContext, body: Reading.Body) {
+        reading = Reading.Idle
+        body.exchange.detach()
+        context.channel().config().isAutoRead = true
+        if (!body.reusable || !requestWritten) context.close()
+        onEnd(context.channel())
+    }
+
+    private fun invalid(context: ChannelHandlerContext, exchange: TargetExchange, detail: String) {
+        exchange.fail(AttemptFailure.InvalidAnswer, detail)
+        context.close()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        broken(context, "the target closed the connection")
+        context.fireChannelInactive()
+    }
+
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        val current = reading
+        if (cause is DecoderException && current is Reading.Head) {
+            current.exchange.fail(AttemptFailure.InvalidAnswer, cause.javaClass.simpleName)
+        }
+        broken(context, cause.javaClass.simpleName)
+    }
+
+    private fun broken(context: ChannelHandlerContext, detail: String) {
+        val current = reading
+        reading = Reading.Idle
+        context.close()
+        when (current) {
+            Reading.Idle -> return
+            is Reading.Head -> current.exchange.fail(AttemptFailure.Disconnected, detail)
+            is Reading.Interim -> current.exchange.fail(AttemptFailure.Disconnected, detail)
+            is Reading.Body -> current.receiver.truncated(detail)
+        }
+        onEnd(context.channel())
+    }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -0,0 +1,102 @@
+package org.wisteriahinge.adapters.backend
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.pool.AbstractChannelPoolHandler
+import io.netty.channel.pool.AbstractChannelPoolMap
+import io.netty.channel.pool.ChannelHealthChecker
+import io.netty.channel.pool.FixedChannelPool
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import java.io.Closeable
+import java.net.InetSocketAddress
+import java.time.Duration
+import org.wisteriahinge.core.call.AttemptFailure
+import org.wisteriahinge.core.model.Address
+
+private const val CODEC = "codec"
+private const val HANDLER = "handler"
+
+/** No deadline of a waiting exchange is checked here; the exchange itself expires. */
+private const val NO_ACQUIRE_TIMEOUT_MILLIS = -1L
+
+/** Bounds of the connections to each target. */
+public data class ConnectionLimits(
+    val perTarget: Int,
+    val waitingPerTarget: Int = 256,
+    val connectTimeout: Duration = Duration.ofSeconds(1)
+)
+
+/**
+ * The connections to all targets: at most [ConnectionLimits.perTarget] each, most recently used
+ * first, so that surplus connections become idle and are closed by the target.
+ */
+internal class TargetConnections(
+    private val group: EventLoopGroup,
+    private val limits: ConnectionLimits
+) : Closeable {
+    private val pools = object : AbstractChannelPoolMap<Address, FixedChannelPool>() {
+        override fun newPool(key: Address) = pool(key)
+    }
+
+    /** Writes the head of [exchange] to a connection, as soon as there is one. */
+    fun send(exchange: TargetExchange) {
+        val pool = pools.get(exchange.address)
+        pool.acquire().addListener { acquired ->
+            val channel = acquired.now as Channel?
+            when {
+                channel == null -> exchange.failToConnect(acquired.cause())
+                !exchange.connected(channel) -> pool.release(channel)
+                else -> RequestWriter(exchange).writeHead(channel)
+            }
+        }
+    }
+
+    private fun TargetExchange.failToConnect(cause: Throwable) {
+        val detail = cause.message ?: cause.javaClass.simpleName
+        if (cause is IllegalStateException) {
+            fail(AttemptFailure.NotSent, detail)
+        } else {
+            fail(AttemptFailure.ConnectFailed, detail)
+        }
+    }
+
+    private fun pool(address: Address): FixedChannelPool = FixedChannelPool(
+        bootstrap(address),
+        PoolHandler(address),
+        ChannelHealthChecker.ACTIVE,
+        null,
+        NO_ACQUIRE_TIMEOUT_MILLIS,
+        limits.perTarget,
+        limits.waitingPerTarget,
+        true,
+        true
+    )
+
+    private fun bootstrap(address: Address): Bootstrap = Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.toMillis().toInt())
+        .remoteAddress(InetSocketAddress(address.host, address.port))
+
+    private inner class PoolHandler(private val address: Address) : AbstractChannelPoolHandler() {
+        override fun channelCreated(channel: Channel) {
+            channel.pipeline().addLast(CODEC, HttpClientCodec())
+            channel.pipeline().addLast(
+                HANDLER,
+                TargetConnectionHandler { pools.get(address).release(it) }
+            )
+        }
+    }
+
+    override fun close() {
+        pools.close()
+    }
+}
+
+/** The handler that reads the answers on this connection; null when the connection is closed. */
+internal fun Channel.targetHandler(): TargetConnectionHandler? =
+    pipeline().get(HANDLER) as TargetConnectionHandler?
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -1,150 +1,179 @@
 package org.wisteriahinge.adapters.caller
 
-import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsChannel
-import io.ktor.http.ContentType
-import io.ktor.http.HttpHeaders
-import io.ktor.http.HttpStatusCode
-import io.ktor.http.content.OutgoingContent
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.response.header
-import io.ktor.server.response.respond
-import io.ktor.server.response.respondText
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.copyTo
-import java.io.IOException
-import java.net.ConnectException
-import java.time.Clock
 import java.time.Duration
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.channels.Channel
-import org.wisteriahinge.adapters.WireHeaders
-import org.wisteriahinge.adapters.backend.BackendClient
-import org.wisteriahinge.adapters.backend.BackendRequest
-import org.wisteriahinge.adapters.backend.HeaderField
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import org.wisteriahinge.adapters.backend.AttemptFailedException
+import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.adapters.backend.BodyFaultException
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
-import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.model.AttemptId
+import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.Refusal
 
-private const val NOT_RUN_STATUS = 503
+private val logger = KotlinLogging.logger {}
+
+/** How the exchange with a caller ended. */
+internal sealed interface ExchangeEnd {
+    /** The caller is to be told [refusal]. */
+    data class Refused(val refusal: Refusal) : ExchangeEnd
+
+    /** The caller got the whole answer, [targetTime] after the request went to the target. */
+    data class Delivered(val targetTime: Duration) : ExchangeEnd
+
+    /** Part of an answer was passed on; the caller must not take it for the whole. */
+    data object Broken : ExchangeEnd
+}
+
+/** The name of the outcome in logs and metrics. */
+internal fun ExchangeEnd.describe(): String = when (this) {
+    is ExchangeEnd.Refused -> refusal.reason.wireName
+    is ExchangeEnd.Delivered -> "delivered"
+    ExchangeEnd.Broken -> "broken"
+}
+
+/** An answer that was passed on, and the time from sending the request to its head. */
+private class Delivery(val end: DeliveryEnd, val targetTime: Duration)
+
+/** An attempt that was started; [chosen] completes when its answer is to be delivered. */
+private class RunningAttempt(val job: Job, val chosen: CompletableDeferred<Unit>)
 
 /** Carries one caller's request from its arrival to its end. */
 internal class CallExchange(
     private val call: ApplicationCall,
-    private val request: CallRequest,
-    private val body: ByteArray?,
-    private val gateway: CallGateway,
-    private val backend: BackendClient,
-    private val clock: Clock
+    private val forwarded: ForwardedCall,
+    private val services: ExchangeServices
 ) {
-    // An attempt brings at most three effects; the channel never refuses one.
+    private val request = forwarded.request
+    private val gateway = services.gateway
+
+    // The decisions on one call issue a bounded number of effects; the channel never refuses one.
     private val effects = Channel<CallEffect.ForCall>(Channel.UNLIMITED)
 
+    /** Takes an effect over; called on the thread of the `calls` duty. */
     fun accept(effect: CallEffect.ForCall) {
         effects.trySend(effect)
     }
 
-    suspend fun run() {
-        for (effect in effects) {
-            when (effect) {
-                is CallEffect.Forward -> attempt(effect.attempt)
-                is CallEffect.Refuse -> return call.respondProblem(effect.refusal, request)
-                is CallEffect.Finished -> return
-                is CallEffect.Deliver, is CallEffect.CancelAttempt -> Unit
-            }
+    /** Performs the effects of the call until it ends. */
+    suspend fun run(): ExchangeEnd = try {
+        coroutineScope {
+            val end = follow()
+            coroutineContext.job.cancelChildren()
+            end
         }
+    } catch (e: BodyFaultException) {
+        gateway.report(CallEvent.CallerGone(request.callId))
+        ExchangeEnd.Refused(Refusal(e.reason, Execution.MayHaveRun))
+    } catch (e: Throwable) {
+        gateway.report(CallEvent.CallerGone(request.callId))
+        throw e
     }
 
-    private suspend fun attempt(attempt: Attempt) {
-        try {
-            backend.send(attempt, backendRequest(attempt)) { answer -> answered(attempt, answer) }
-        } catch (_: ConnectException) {
-            fail(attempt, AttemptFailure.ConnectFailed)
-        } catch (_: IOException) {
-            fail(attempt, AttemptFailure.Disconnected)
+    private suspend fun CoroutineScope.follow(): ExchangeEnd {
+        val delivery = CompletableDeferred<Delivery>()
+        var running = persistentHashMapOf<AttemptId, RunningAttempt>()
+        while (true) {
+            when (val effect = effects.receive()) {
+                is CallEffect.Forward -> running = running.start(this, effect.attempt, delivery)
+                is CallEffect.Deliver -> running[effect.attemptId]?.chosen?.complete(Unit)
+                is CallEffect.CancelAttempt -> running[effect.attemptId]?.job?.cancel()
+                is CallEffect.Refuse -> return refused(effect.refusal)
+                is CallEffect.Finished -> return ended(delivery)
+            }
         }
     }
 
-    private suspend fun answered(attempt: Attempt, answer: HttpResponse) {
-        val load = loadOf(answer)
-        val notRun = answer.headers[WireHeaders.NOT_RUN]
-        if (answer.status.value == NOT_RUN_STATUS && notRun != null) {
-            val failure =
-                if (notRun == "draining") AttemptFailure.TargetDraining else AttemptFailure.Shed
-            return fail(attempt, failure, load)
+    private fun refused(refusal: Refusal): ExchangeEnd =
+        if (call.response.isCommitted) ExchangeEnd.Broken else ExchangeEnd.Refused(refusal)
+
+    private suspend fun ended(delivery: CompletableDeferred<Delivery>): ExchangeEnd {
+        if (!delivery.isCompleted) return ExchangeEnd.Broken
+        val delivered = delivery.await()
+        return when (delivered.end) {
+            DeliveryEnd.Complete -> ExchangeEnd.Delivered(delivered.targetTime)
+            DeliveryEnd.Truncated, DeliveryEnd.CallerGone -> ExchangeEnd.Broken
         }
-        gateway.report(
-            CallEvent.Answered(request.callId, attempt.id, answer.status.value, load)
-        )
-        val next = effects.receive()
-        if (next is CallEffect.Deliver) deliver(attempt, answer)
     }
 
-    private suspend fun deliver(attempt: Attempt, answer: HttpResponse) {
-        call.respond(StreamedAnswer(answer))
-        gateway.report(CallEvent.Completed(request.callId, attempt.id))
+    private fun PersistentMap<AttemptId, RunningAttempt>.start(
+        scope: CoroutineScope,
+        attempt: Attempt,
+        delivery: CompletableDeferred<Delivery>
+    ): PersistentMap<AttemptId, RunningAttempt> {
+        val chosen = CompletableDeferred<Unit>()
+        val job = scope.launch { run(attempt, chosen, delivery) }
+        return put(attempt.id, RunningAttempt(job, chosen))
     }
 
-    private fun fail(attempt: Attempt, failure: AttemptFailure, load: LoadReport? = null) {
-        gateway.report(
-            CallEvent.AttemptFailed(request.callId, attempt.id, failure, replayable = true, load)
-        )
+    private suspend fun run(
+        attempt: Attempt,
+        chosen: CompletableDeferred<Unit>,
+        delivery: CompletableDeferred<Delivery>
+    ) {
+        val outgoing = forwarded.toTarget(attempt, services.clock.instant())
+        if (outgoing.remaining.toMillis() <= 0) return fail(attempt, AttemptFailure.NotSent)
+        val sentNanos = System.nanoTime()
+        try {
+            services.backend.send(attempt, outgoing) { answer ->
+                val targetTime = Duration.ofNanos(System.nanoTime() - sentNanos)
+                val load = answer.loadReport(services.clock.instant())
+                val notRun = answer.notRunFailure()
+                if (notRun != null) return@send fail(attempt, notRun, load)
+                gateway.report(
+                    CallEvent.Answered(request.callId, attempt.id, answer.status, load)
+                )
+                chosen.await()
+                val end = deliver(answer)
+                delivery.complete(Delivery(end, targetTime))
+                gateway.report(eventOf(end, attempt))
+            }
+        } catch (e: AttemptFailedException) {
+            fail(attempt, e.failure)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: RuntimeException) {
+            logger.error(e) { "attempt ${attempt.id} of call ${request.callId} failed" }
+            fail(attempt, AttemptFailure.Disconnected)
+        }
     }
 
-    private fun loadOf(answer: HttpResponse): LoadReport? {
-        val parts = answer.headers[WireHeaders.LOAD]?.split('/') ?: return null
-        val inFlight = parts.getOrNull(0)?.toIntOrNull() ?: return null
-        val slots = parts.getOrNull(1)?.toIntOrNull() ?: return null
-        return LoadReport(inFlight, slots, clock.instant())
+    private suspend fun deliver(answer: BackendAnswer): DeliveryEnd {
+        val capture = AnswerCapture.of(request, services.answerListener)
+        val end = deliver(call, answer, services.stall, capture)
+        if (end == DeliveryEnd.Complete) capture.complete(answer)
+        return end
     }
 
-    private fun backendRequest(attempt: Attempt): BackendRequest {
-        val remaining = Duration.between(clock.instant(), attempt.deadline).toMillis()
-        return BackendRequest(
-            method = request.method,
-            pathAndQuery = request.path,
-            headers = forwardedHeaders(attempt, remaining),
-            body = body,
-            remainingMillis = remaining.coerceAtLeast(1)
-        )
+    private fun eventOf(end: DeliveryEnd, attempt: Attempt): CallEvent = when (end) {
+        DeliveryEnd.Complete -> CallEvent.Completed(request.callId, attempt.id)
+        DeliveryEnd.Truncated -> CallEvent.Truncated(request.callId, attempt.id)
+        DeliveryEnd.CallerGone -> CallEvent.CallerGone(request.callId)
     }
 
-    private fun forwardedHeaders(
-        attempt: Attempt,
-        remainingMillis: Long
-    ): PersistentList<HeaderField> {
-        val own = listOf(
-            HeaderField(WireHeaders.TIMEOUT_MILLIS, remainingMillis.toString()),
-            HeaderField(WireHeaders.DEPTH, (request.depth + 1).toString()),
-            HeaderField(WireHeaders.ATTEMPT, attempt.number.toString())
+    private fun fail(attempt: Attempt, failure: AttemptFailure, load: LoadReport? = null) {
+        val event = CallEvent.AttemptFailed(
+            callId = request.callId,
+            attemptId = attempt.id,
+            failure = failure,
+            replayable = forwarded.isReplayable,
+            load = load
         )
-        val key = request.idempotencyKey?.let { HeaderField(WireHeaders.IDEMPOTENCY_KEY, it.value) }
-        return (own + listOfNotNull(key)).toPersistentList()
-    }
-}
-
-private class StreamedAnswer(private val answer: HttpResponse) :
-    OutgoingContent.WriteChannelContent() {
-    override val status: HttpStatusCode = answer.status
-    override val contentLength: Long? = answer.headers[HttpHeaders.ContentLength]?.toLong()
-    override val contentType: ContentType? =
-        answer.headers[HttpHeaders.ContentType]?.let(ContentType::parse)
-
-    override suspend fun writeTo(channel: ByteWriteChannel) {
-        answer.bodyAsChannel().copyTo(channel)
+        gateway.report(event)
     }
 }
-
-internal suspend fun ApplicationCall.respondProblem(refusal: Refusal, request: CallRequest) {
-    refusal.retryAfter?.let { response.header(HttpHeaders.RetryAfter, it.toSeconds().toString()) }
-    respondText(
-        text = ProblemDocument.of(refusal, request.callId.toString()).toJson(),
-        contentType = ContentType.parse(ProblemDocument.MEDIA_TYPE),
-        status = HttpStatusCode.fromValue(refusal.reason.status)
-    )
-}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CredentialHasher.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CredentialHasher.kt
@@ -5,6 +5,7 @@
 import javax.crypto.spec.SecretKeySpec
 import org.wisteriahinge.core.call.PresentedCredential
 import org.wisteriahinge.core.model.CredentialId
+import org.wisteriahinge.core.model.RequestDigest
 
 private const val ALGORITHM = "HmacSHA256"
 private const val BEARER_PREFIX = "Bearer "
@@ -14,11 +15,18 @@
     private val keySpec = SecretKeySpec(key, ALGORITHM)
 
     /** HMAC-SHA-256 of [secret] in lower-case hexadecimal. */
-    public fun hash(secret: String): String {
-        val mac = Mac.getInstance(ALGORITHM).apply { init(keySpec) }
-        return HexFormat.of().formatHex(mac.doFinal(secret.encodeToByteArray()))
+    public fun hash(secret: String): String =
+        HexFormat.of().formatHex(mac().doFinal(secret.encodeToByteArray()))
+
+    /** Keyed hash of a request's [method], [target] and [body]; equal for its resends. */
+    public fun digest(method: String, target: String, body: ByteArray): RequestDigest {
+        val mac = mac()
+        mac.update("$method $target\n".encodeToByteArray())
+        return RequestDigest(HexFormat.of().formatHex(mac.doFinal(body)))
     }
 
+    private fun mac(): Mac = Mac.getInstance(ALGORITHM).apply { init(keySpec) }
+
     /** Reads `Bearer <credential id>.<secret>`; null when [authorization] has another form. */
     public fun present(authorization: String?): PresentedCredential? {
         val token = authorization?.takeIf { it.startsWith(BEARER_PREFIX, ignoreCase = true) }
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RequestHead.kt
@@ -0,0 +1,83 @@
+package org.wisteriahinge.adapters.caller
+
+import com.github.f4b6a3.uuid.util.UuidValidator
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.toResultOr
+import io.ktor.http.Headers
+import java.time.Duration
+import org.wisteriahinge.adapters.WireHeaders
+import org.wisteriahinge.core.model.IdempotencyKey
+import org.wisteriahinge.core.model.RefusalReason
+
+private const val KEY_LENGTH = 36
+private const val KEY_VERSION = 7
+
+/** Longest accepted number in an own header; 18 digits always fit a Long. */
+private const val MAX_DIGITS = 18
+
+/** The parts of a request's head that this instance interprets. */
+internal data class RequestHead(
+    val method: String,
+    val target: String,
+    val contentLength: Long?,
+    val chunked: Boolean,
+    val timeout: Duration?,
+    val depth: Int,
+    val retriesAllowed: Boolean,
+    val idempotencyKey: IdempotencyKey?
+) {
+    /** Whether a body follows. */
+    val hasBody: Boolean get() = chunked || (contentLength ?: 0) > 0
+}
+
+/** Reads the head of a request, or says why it is refused. */
+internal fun readHead(
+    method: String,
+    target: String,
+    headers: Headers
+): Result<RequestHead, RefusalReason> = binding {
+    checkTarget(target).bind()
+    RequestHead(
+        method = method,
+        target = target,
+        contentLength = headers.number("Content-Length").bind(),
+        chunked = headers["Transfer-Encoding"] != null,
+        timeout = headers.number(WireHeaders.TIMEOUT_MILLIS).bind()?.let(Duration::ofMillis),
+        depth = headers.number(WireHeaders.DEPTH).bind()
+            ?.coerceAtMost(Int.MAX_VALUE.toLong())?.toInt() ?: 0,
+        retriesAllowed = headers[WireHeaders.NO_RETRY] == null,
+        idempotencyKey = headers.key().bind()
+    )
+}
+
+// A target that resolves dot segments or encoded slashes would run another operation than the
+// one that was matched and entitled here.
+private fun checkTarget(target: String): Result<Unit, RefusalReason> {
+    val path = target.substringBefore('?')
+    val plain = target.startsWith('/') && target.all { it in '!'..'~' && it != '#' }
+    val ambiguous = '\\' in path || ENCODED_SEPARATOR.containsMatchIn(path) ||
+        path.split('/').any { DOT_SEGMENT.matches(it) }
+    return if (plain && !ambiguous) Ok(Unit) else Err(RefusalReason.MalformedRequest)
+}
+
+private val ENCODED_SEPARATOR = Regex("%(2f|5c|00)", RegexOption.IGNORE_CASE)
+private val DOT_SEGMENT = Regex("(\\.|%2e){1,2}", RegexOption.IGNORE_CASE)
+
+private fun Headers.number(name: String): Result<Long?, RefusalReason> {
+    val values = getAll(name) ?: return Ok(null)
+    return values.singleOrNull()
+        ?.takeIf { it.length in 1..MAX_DIGITS && it.all { digit -> digit in '0'..'9' } }
+        ?.toLong()
+        .toResultOr { RefusalReason.MalformedRequest }
+}
+
+private fun Headers.key(): Result<IdempotencyKey?, RefusalReason> {
+    val values = getAll(WireHeaders.IDEMPOTENCY_KEY) ?: return Ok(null)
+    return values.singleOrNull()
+        ?.takeIf { it.length == KEY_LENGTH && UuidValidator.isValid(it, KEY_VERSION) }
+        ?.let { IdempotencyKey(it.lowercase()) }
+        .toResultOr { RefusalReason.InvalidIdempotencyKey }
+}
--- /dev/null
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
@@ -0,0 +1,163 @@
+package org.wisteriahinge.adapters.caller
+
+import java.io.BufferedInputStream
+import java.io.ByteArrayOutputStream
+import java.io.Closeable
+import java.io.IOException
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketException
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** A message as it was read from a socket. [complete] is false when the connection ended early. */
+class RawMessage(
+    val startLine: String,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+    val complete: Boolean
+) {
+    val status: Int get() = startLine.split(' ')[1].toInt()
+    val text: String get() = body.decodeToString()
+
+    fun header(name: String): String? =
+        headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
+}
+
+/** Reads one message; null when the connection ended before its first line. */
+fun InputStream.readMessage(bodyExpected: Boolean = true): RawMessage? {
+    val startLine = readLineOrNull() ?: return null
+    val headers = generateSequence { readLineOrNull()?.takeIf { it.isNotEmpty() } }
+        .map { it.substringBefore(':') to it.substringAfter(':').trim() }.toList()
+    val head = RawMessage(startLine, headers, ByteArray(0), complete = true)
+    val body = ByteArrayOutputStream()
+    val complete = when {
+        !bodyExpected -> true
+        head.header("Transfer-Encoding") == "chunked" -> readChunks(body)
+        else -> readExactly(head.header("Content-Length")?.toInt() ?: 0, body)
+    }
+    return RawMessage(startLine, headers, body.toByteArray(), complete)
+}
+
+private fun InputStream.readLineOrNull(): String? {
+    val line = ByteArrayOutputStream()
+    while (true) {
+        val next = try {
+            read()
+        } catch (_: SocketException) {
+            -1
+        }
+        if (next < 0) return null
+        if (next == '\n'.code) return line.toString().removeSuffix("\r")
+        line.write(next)
+    }
+}
+
+private fun InputStream.readExactly(count: Int, into: ByteArrayOutputStream): Boolean {
+    val bytes = try {
+        readNBytes(count)
+    } catch (_: SocketException) {
+        ByteArray(0)
+    }
+    into.write(bytes)
+    return bytes.size == count
+}
+
+private fun InputStream.readChunks(into: ByteArrayOutputStream): Boolean {
+    while (true) {
+        val size = readLineOrNull()?.toIntOrNull(16) ?: return false
+        if (!readExactly(size, into)) return false
+        readLineOrNull() ?: return false
+        if (size == 0) return true
+    }
+}
+
+/** A caller on a socket of its own, for input that a client library would not send. */
+class RawCaller(port: Int) : Closeable {
+    val socket = Socket(InetAddress.getLoopbackAddress(), port).apply { soTimeout = 20_000 }
+    private val input = BufferedInputStream(socket.getInputStream())
+
+    fun send(text: String): RawCaller = apply {
+        socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+        socket.getOutputStream().flush()
+    }
+
+    fun receive(bodyExpected: Boolean = true): RawMessage? = input.readMessage(bodyExpected)
+
+    /** Whether the other side has closed the connection. */
+    fun isClosedByServer(): Boolean = try {
+        input.read() < 0
+    } catch (_: SocketException) {
+        true
+    }
+
+    override fun close() = socket.close()
+}
+
+/** A connection of a [RawTarget]. */
+class RawConnection(val socket: Socket) {
+    fun write(text: String) = write(text.toByteArray(Charsets.ISO_8859_1))
+
+    fun write(bytes: ByteArray) {
+        socket.getOutputStream().write(bytes)
+        socket.getOutputStream().flush()
+    }
+
+    fun answer(body: String, headers: String = "", status: String = "200 OK") =
+        write("HTTP/1.1 $status\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body")
+}
+
+/** A backend server whose bytes on the wire are chosen by [serve]. */
+class RawTarget(private val serve: RawConnection.(RawMessage) -> Unit) : Closeable {
+    private val server = ServerSocket(0, 256, InetAddress.getLoopbackAddress())
+    private val open = ConcurrentLinkedQueue<Socket>()
+    val connections = AtomicInteger()
+    val requests = ConcurrentLinkedQueue<RawMessage>()
+    val endedEarly = ConcurrentLinkedQueue<String>()
+    val port: Int get() = server.localPort
+
+    init {
+        thread(isDaemon = true) {
+            try {
+                while (true) accept(server.accept())
+            } catch (_: SocketException) {
+                return@thread
+            }
+        }
+    }
+
+    private fun accept(socket: Socket) {
+        connections.incrementAndGet()
+        open.add(socket)
+        thread(isDaemon = true) {
+            val input = BufferedInputStream(socket.getInputStream())
+            try {
+                while (true) {
+                    val request = input.readMessage() ?: break
+                    requests.add(request)
+                    RawConnection(socket).serve(request)
+                }
+            } catch (e: IOException) {
+                endedEarly.add(e.message.orEmpty())
+            }
+            socket.close()
+        }
+    }
+
+    override fun close() {
+        server.close()
+        open.forEach { it.close() }
+    }
+}
+
+/** Waits for [condition] without asserting how long it takes. */
+fun await(what: String, condition: () -> Boolean) {
+    repeat(2_000) {
+        if (condition()) return
+        Thread.sleep(5)
+    }
+    error("never happened: $what")
+}
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -5,8 +5,10 @@
 import java.time.Clock
 import java.time.Duration
 import org.wisteriahinge.adapters.backend.BackendClient
+import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallerServer
+import org.wisteriahinge.adapters.caller.CallerServerParts
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.log.ConfigurationTailDuty
@@ -40,7 +42,7 @@
     private val tail = ConfigurationTailDuty(log) {
         callsRing.offerReserved(CallMessage(CallEvent.Configured(it)))
     }
-    private val backend = BackendClient(settings.maxConnectionsPerTarget)
+    private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -48,10 +50,13 @@
             settings.defaultTimeout,
             settings.maxTimeout
         ),
-        CallGateway(callsRing, MAX_CALLS),
-        backend,
-        CredentialHasher(settings.credentialKey.encodeToByteArray()),
-        clock
+        CallerServerParts(
+            gateway = CallGateway(callsRing, MAX_CALLS),
+            backend = backend,
+            hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
+            clock = clock,
+            counters = metrics::count
+        )
     )
 
     private fun initialState() = CallsState(
