--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
@@ -18,6 +18,7 @@
 }
 
 internal val POLICIES: PersistentList<BenchPolicy> = persistentListOf(
+    BenchPolicy.Decided("wisteriahinge", RoutingPolicy.Wisteriahinge()),
     BenchPolicy.Decided("round_robin", RoutingPolicy.RoundRobin),
     BenchPolicy.Decided("random", RoutingPolicy.Random),
     BenchPolicy.Decided("least_in_flight", RoutingPolicy.LeastInFlight),
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/PolicyBench.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/PolicyBench.kt
@@ -17,7 +17,7 @@
 }
 
 private fun figures(result: RunResult): JsonObject = buildJsonObject {
-    val latencies = latencies(result.measured())
+    val latencies = result.latencies(result.measured())
     put("p50_ms", latencies.millisAt(50.0))
     put("p99_ms", latencies.millisAt(99.0))
     put("p999_ms", latencies.millisAt(99.9))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -44,10 +44,14 @@
 internal fun RunResult.measured(): List<Outcome> =
     outcomes.filter { it.request.atMicros >= scenario.warmupMillis * MICROS_PER_MILLI }
 
-/** Latencies of the answers among [among], in microseconds. */
-internal fun latencies(among: List<Outcome>): Histogram {
+/**
+ * Latencies of the answers among [among], in microseconds. A request that waited in vain up to
+ * its deadline counts with that time, so that losing slow requests does not improve the figures.
+ */
+internal fun RunResult.latencies(among: List<Outcome>): Histogram {
     val histogram = Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS)
-    among.filter { it.ending is Ending.Answered }.forEach {
+    val deadlineMicros = scenario.deadlineMillis * MICROS_PER_MILLI
+    among.filter { it.ending is Ending.Answered || it.latencyMicros >= deadlineMicros }.forEach {
         histogram.recordValue(it.latencyMicros.coerceAtMost(MAX_LATENCY_MICROS))
     }
     return histogram
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/availability/AvailabilityChart.kt
@@ -0,0 +1,80 @@
+package org.wisteriahinge.core.availability
+
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.charts.Chart
+import org.wisteriahinge.charts.ChartName
+import org.wisteriahinge.charts.ChartVocabulary
+import org.wisteriahinge.charts.loadChartResource
+
+/** Whether a target may get work, as in `charts/target-availability.yaml`. */
+public sealed class AvailabilityState(override val chartName: String) : ChartName {
+    /** New or back on trial: gets a few requests at a time. */
+    public data object Cold : AvailabilityState("cold")
+
+    public data object Warm : AvailabilityState("warm")
+
+    /** Much slower than its peers: gets single requests as trials. */
+    public data object Suspect : AvailabilityState("suspect")
+
+    /** Fails: gets nothing until its next trial. */
+    public data object Ejected : AvailabilityState("ejected")
+
+    /** Leaves: gets no new work and finishes what it has. */
+    public data object Draining : AvailabilityState("draining")
+
+    /** No longer listed. */
+    public data object Gone : AvailabilityState("gone")
+}
+
+/** What can happen to the availability of a target. */
+public sealed class AvailabilityTrigger(override val chartName: String) : ChartName {
+    public data object Warmed : AvailabilityTrigger("warmed")
+    public data object Slow : AvailabilityTrigger("slow")
+    public data object Recovered : AvailabilityTrigger("recovered")
+    public data object Failing : AvailabilityTrigger("failing")
+    public data object TrialDue : AvailabilityTrigger("trial_due")
+    public data object DrainAnnounced : AvailabilityTrigger("drain_announced")
+    public data object DrainExpired : AvailabilityTrigger("drain_expired")
+    public data object Removed : AvailabilityTrigger("removed")
+}
+
+/** What a transition of a target's availability asks for. */
+public sealed class AvailabilityAction(override val chartName: String) : ChartName {
+    public data object StartRamp : AvailabilityAction("start_ramp")
+    public data object ScheduleTrial : AvailabilityAction("schedule_trial")
+    public data object HoldDrain : AvailabilityAction("hold_drain")
+    public data object ClearRecord : AvailabilityAction("clear_record")
+}
+
+internal val availabilityChart:
+    Chart<AvailabilityState, AvailabilityTrigger, AvailabilityAction> by lazy {
+        loadChartResource(
+            "target-availability",
+            ChartVocabulary(
+                states = persistentListOf(
+                    AvailabilityState.Cold,
+                    AvailabilityState.Warm,
+                    AvailabilityState.Suspect,
+                    AvailabilityState.Ejected,
+                    AvailabilityState.Draining,
+                    AvailabilityState.Gone
+                ),
+                events = persistentListOf(
+                    AvailabilityTrigger.Warmed,
+                    AvailabilityTrigger.Slow,
+                    AvailabilityTrigger.Recovered,
+                    AvailabilityTrigger.Failing,
+                    AvailabilityTrigger.TrialDue,
+                    AvailabilityTrigger.DrainAnnounced,
+                    AvailabilityTrigger.DrainExpired,
+                    AvailabilityTrigger.Removed
+                ),
+                effects = persistentListOf(
+                    AvailabilityAction.StartRamp,
+                    AvailabilityAction.ScheduleTrial,
+                    AvailabilityAction.HoldDrain,
+                    AvailabilityAction.ClearRecord
+                )
+            )
+        )
+    }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -17,7 +17,7 @@
 /** Chooses a target for [call] and forwards it, or refuses when there is none. */
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
     val route = RouteRequest(call.matched.service.id, call.matched.operation.workClass)
-    return when (val choice = routing.choose(route)) {
+    return when (val choice = routing.choose(route, now)) {
         is RouteChoice.Chosen -> copy(routing = choice.routing).forward(call, choice, now)
         RouteChoice.NoTarget -> refuse(
             call.request.callId,
@@ -47,7 +47,12 @@
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
-        routing = routing.attemptStarted(attempt.id, choice.target.id, now)
+        routing = routing.attemptStarted(
+            attempt.id,
+            choice.target.id,
+            call.matched.operation.id,
+            now
+        )
     )
     return CallsDecision(next).emit(CallEffect.Forward(call.request.callId, attempt))
 }
@@ -57,7 +62,7 @@
     if (event.attemptId !in call.attempts) return CallsDecision(this)
     val result = AttemptResult.Answered(event.status, event.load)
     val counted = CallCounter.Answered(call.matched.service.id, event.status)
-    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result)))
+    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result, now)))
         .emit(CallEffect.Count(counted))
         .then { it.stepAttempt(event.callId, event.attemptId, AttemptTrigger.Answered, now) }
 }
@@ -67,7 +72,7 @@
     if (event.attemptId !in call.attempts) return CallsDecision(this)
     val result = AttemptResult.Failed(event.failure, event.load)
     val counted = CallCounter.AttemptFailed(call.matched.service.id, event.failure)
-    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result)))
+    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result, now)))
         .emit(CallEffect.Count(counted))
         .then {
             it.stepAttempt(event.callId, event.attemptId, AttemptTrigger.Failed, now, event)
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingPolicy.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingPolicy.kt
@@ -13,4 +13,21 @@
 
     /** The better of two random targets by requests in flight. */
     public data object TwoChoices : RoutingPolicy
+
+    /**
+     * The target with the least expected time to an answer, by own requests, load reports that
+     * age, pace, zone and availability. `docs/decisions/routing.md` has the figures behind the
+     * defaults.
+     *
+     * [sampled] targets are compared for a request, 0 for all that are preferred.
+     * [reportHorizonMillis] is the age at which a load report counts 37%. [zonePenaltyMillis] is
+     * the added time to another zone and back. [witnesses] is the number of peers whose word
+     * ejects a target, 0 for none.
+     */
+    public data class Wisteriahinge(
+        val sampled: Int = 0,
+        val reportHorizonMillis: Double = 40.0,
+        val zonePenaltyMillis: Double = 2.0,
+        val witnesses: Int = 0
+    ) : RoutingPolicy
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
@@ -1,21 +1,34 @@
 package org.wisteriahinge.core.routing
 
 import java.time.Instant
-import kotlin.random.Random
+import java.util.SplittableRandom
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.availability.AvailabilityState
+import org.wisteriahinge.core.availability.TargetHealth
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.Entitlements
 import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.Zone
 
+/** Targets compared for each request of a service; bounds the cost of a decision. */
+private const val MAX_PREFERRED = 24
+
+/** Connections to a target from one instance: its 250 over the 18 instances of a deployment. */
+private const val CONNECTIONS_PER_TARGET = 13
+
 /** An attempt in flight at a target. */
-public data class AttemptAtTarget(val target: TargetId, val startedAt: Instant)
+public data class AttemptAtTarget(
+    val target: TargetId,
+    val startedAt: Instant,
+    val operation: OperationId
+)
 
 /**
  * What this instance knows of all targets, and how it chooses among them.
@@ -29,57 +42,114 @@
     val choices: Long = 0,
     val targets: PersistentMap<TargetId, TargetView> = persistentHashMapOf(),
     val byService: PersistentMap<ServiceId, PersistentList<TargetId>> = persistentHashMapOf(),
-    val attempts: PersistentMap<AttemptId, AttemptAtTarget> = persistentHashMapOf()
+    val attempts: PersistentMap<AttemptId, AttemptAtTarget> = persistentHashMapOf(),
+    val preferred: PersistentMap<ServiceId, PersistentList<TargetId>> = persistentHashMapOf(),
+    val paces: PersistentMap<ServiceId, ServicePace> = persistentHashMapOf(),
+    val connectionsPerTarget: Int = CONNECTIONS_PER_TARGET
 ) {
-    /** Takes over the targets of [entitlements]; views of targets that stay are kept. */
+    /**
+     * Takes over the targets of [entitlements]; views of targets that stay are kept. A target
+     * that is not listed any more gets no new work and finishes what it has.
+     */
     public fun configured(entitlements: Entitlements): RoutingState {
-        val views = entitlements.services.values.flatMap { service ->
+        val listed = entitlements.services.values.flatMap { service ->
             service.targets.map { target -> viewOf(service.id, target) }
         }
+        val listedIds = listed.map { it.target.id }.toSet()
+        val leaving = targets.values
+            .filter { it.target.id !in listedIds && it.inFlight > 0 }
+            .map { it.copy(health = it.health.copy(state = AvailabilityState.Gone)) }
+        val members = listed.groupBy { it.service }
         return copy(
-            targets = views.fold(persistentHashMapOf()) { map, view ->
+            targets = (listed + leaving).fold(persistentHashMapOf()) { map, view ->
                 map.put(view.target.id, view)
             },
-            byService = views.groupBy { it.service }
-                .entries.fold(persistentHashMapOf()) { map, (service, members) ->
-                    map.put(service, members.map { it.target.id }.toPersistentList())
-                }
+            byService = members.entries.fold(persistentHashMapOf()) { map, (service, views) ->
+                map.put(service, views.map { it.target.id }.toPersistentList())
+            },
+            preferred = members.entries.fold(persistentHashMapOf()) { map, (service, views) ->
+                map.put(service, preferredOf(views))
+            }
         )
     }
 
-    private fun viewOf(service: ServiceId, target: Target): TargetView =
-        targets[target.id]?.copy(service = service, target = target) ?: TargetView(service, target)
+    private fun viewOf(service: ServiceId, target: Target): TargetView {
+        val known = targets[target.id] ?: return TargetView(service, target)
+        val health = when (known.health.state) {
+            AvailabilityState.Gone -> TargetHealth()
+            AvailabilityState.Cold,
+            AvailabilityState.Warm,
+            AvailabilityState.Suspect,
+            AvailabilityState.Ejected,
+            AvailabilityState.Draining -> known.health
+        }
+        return known.copy(service = service, target = target, health = health)
+    }
+
+    /** The local zone's targets first, then others in an order that differs by instance. */
+    private fun preferredOf(views: List<TargetView>): PersistentList<TargetId> = views
+        .sortedWith(
+            compareBy(
+                { it.target.zone != zone },
+                { SplittableRandom(seed xor it.target.id.value.hashCode().toLong()).nextLong() }
+            )
+        )
+        .take(MAX_PREFERRED)
+        .map { it.target.id }
+        .toPersistentList()
 
     /** Chooses a target for [request]. */
-    public fun choose(request: RouteRequest): RouteChoice {
+    public fun choose(request: RouteRequest, now: Instant): RouteChoice = when (policy) {
+        is RoutingPolicy.Wisteriahinge -> chooseByScore(request, policy, now)
+        RoutingPolicy.RoundRobin -> chooseSimply(request) { all, _ ->
+            all[(choices % all.size).toInt()]
+        }
+        RoutingPolicy.Random -> chooseSimply(request) { all, random -> all.draw(random) }
+        RoutingPolicy.LeastInFlight -> chooseSimply(request) { all, random ->
+            val start = random.nextInt(all.size)
+            (all.drop(start) + all.take(start)).minBy { it.inFlight }
+        }
+        RoutingPolicy.TwoChoices -> chooseSimply(request) { all, random ->
+            listOf(all.draw(random), all.draw(random)).minBy { it.inFlight }
+        }
+    }
+
+    private fun chooseSimply(
+        request: RouteRequest,
+        pick: (List<TargetView>, SplittableRandom) -> TargetView
+    ): RouteChoice {
         val candidates = byService[request.service].orEmpty()
             .filter { it !in request.exclude }
             .mapNotNull { targets[it] }
         if (candidates.isEmpty()) return RouteChoice.NoTarget
-        val chosen = pick(candidates)
+        val chosen = pick(candidates, SplittableRandom(seed + choices))
         return RouteChoice.Chosen(copy(choices = choices + 1), chosen.target)
     }
 
-    private fun pick(candidates: List<TargetView>): TargetView {
-        val random = Random(seed + choices)
-        return when (policy) {
-            RoutingPolicy.RoundRobin -> candidates[(choices % candidates.size).toInt()]
-            RoutingPolicy.Random -> candidates.random(random)
-            RoutingPolicy.LeastInFlight -> candidates.shuffled(random).minBy { it.inFlight }
-            RoutingPolicy.TwoChoices ->
-                listOf(candidates.random(random), candidates.random(random)).minBy { it.inFlight }
-        }
-    }
+    private fun List<TargetView>.draw(random: SplittableRandom) = this[random.nextInt(size)]
 
-    /** An attempt was sent to [target]. */
-    public fun attemptStarted(attempt: AttemptId, target: TargetId, now: Instant): RoutingState =
-        copy(attempts = attempts.put(attempt, AttemptAtTarget(target, now)))
-            .updateTarget(target) { it.copy(inFlight = it.inFlight + 1) }
+    /** An attempt for [operation] was sent to [target]. */
+    public fun attemptStarted(
+        attempt: AttemptId,
+        target: TargetId,
+        operation: OperationId,
+        now: Instant
+    ): RoutingState =
+        copy(attempts = attempts.put(attempt, AttemptAtTarget(target, now, operation)))
+            .updateTarget(target) { view ->
+                val waitingSince = if (view.inFlight == 0) now else view.lastEventAt
+                view.copy(inFlight = view.inFlight + 1, lastEventAt = waitingSince)
+            }
 
     /** The head of an answer or a failure of [attempt] was seen. */
-    public fun attemptResult(attempt: AttemptId, result: AttemptResult): RoutingState {
+    public fun attemptResult(
+        attempt: AttemptId,
+        result: AttemptResult,
+        now: Instant
+    ): RoutingState {
         val at = attempts[attempt] ?: return this
-        return result.load?.let { loadReported(at.target, it) } ?: this
+        val observed = observed(at, result, now)
+        return result.load?.let { observed.loadReported(at.target, it) } ?: observed
     }
 
     /** [attempt] no longer occupies its target. */
@@ -87,20 +157,18 @@
         val at = attempts[attempt] ?: return this
         return copy(attempts = attempts.remove(attempt))
             .updateTarget(at.target) { it.copy(inFlight = it.inFlight - 1) }
+            .forgetIfGone(at.target)
+    }
+
+    private fun forgetIfGone(id: TargetId): RoutingState {
+        val view = targets[id] ?: return this
+        val finished = view.health.state == AvailabilityState.Gone && view.inFlight == 0
+        return if (finished) copy(targets = targets.remove(id)) else this
     }
 
     /** Takes over a target's own report unless a newer one is known. */
     public fun loadReported(target: TargetId, load: LoadReport): RoutingState =
-        updateTarget(target) { view ->
-            val known = view.load
-            if (known != null &&
-                known.observedAt >= load.observedAt
-            ) {
-                view
-            } else {
-                view.copy(load = load)
-            }
-        }
+        updateTarget(target) { it.reported(load) }
 
     private fun updateTarget(id: TargetId, change: (TargetView) -> TargetView): RoutingState {
         val view = targets[id] ?: return this
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetView.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetView.kt
@@ -1,13 +1,43 @@
 package org.wisteriahinge.core.routing
 
+import java.time.Instant
+import org.wisteriahinge.core.availability.TargetHealth
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.Target
 
-/** What this instance knows of a target. [inFlight] counts only its own requests. */
+/**
+ * What this instance knows of a target. [inFlight] counts only its own requests.
+ *
+ * [others] is the load of other instances in the newest report, [usualOthers] its mean.
+ * [lastEventAt] is when this instance last had an answer, or began to wait for one.
+ */
 public data class TargetView(
     val service: ServiceId,
     val target: Target,
     val inFlight: Int = 0,
-    val load: LoadReport? = null
-)
+    val load: LoadReport? = null,
+    val others: Double = 0.0,
+    val usualOthers: Double = 0.0,
+    val lastEventAt: Instant = Instant.EPOCH,
+    val health: TargetHealth = TargetHealth()
+) {
+    /** Takes over [report] unless a newer one is known. */
+    internal fun reported(report: LoadReport): TargetView {
+        val known = load
+        if (known != null && known.observedAt >= report.observedAt) return this
+        if (report.inFlight + REPORT_LAG_REQUESTS < inFlight) return copy(load = null)
+        val seen = (report.inFlight - inFlight).coerceAtLeast(0).toDouble()
+        val mean = usualOthers + USUAL_WEIGHT * (seen - usualOthers)
+        return copy(load = report, others = seen, usualOthers = mean)
+    }
+}
+
+/**
+ * A report may miss this many of the instance's own requests, which are on their way. One that
+ * misses more is false, and the usual load is assumed instead.
+ */
+private const val REPORT_LAG_REQUESTS = 3
+
+/** Weight of the newest report in the usual load. */
+private const val USUAL_WEIGHT = 0.1
