--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
@@ -26,7 +26,10 @@
     val moment = Moment(now, SplittableRandom(seed xor choices).nextDouble())
     val health = when (result) {
         is AttemptResult.Answered -> answered(view, at, result.status, moment)
-        is AttemptResult.Failed -> failed(view, result.failure, moment)
+        is AttemptResult.Failed -> when (result.attribution) {
+            FailureAttribution.Target -> failed(view, result.failure, moment)
+            FailureAttribution.Request -> view.health
+        }
     }
     val seen = copy(
         targets = targets.put(at.target, view.copy(health = health, lastEventAt = now))
