Add the commands and settings of operators

Cause: three commands existed, wrong flags ended with code 127 and a usage text, secrets came from flags only, and settings had no bounds. Change: run, check, publish, show, revisions, settings, hash-secret, version and help; settings from flags, environment variables and, for secrets, files, each with default, unit and bounds; all faults at once with the remedy. The instance starts its peer network when an instance list is set and passes members and messages to the configuration. Conclusion: every wrong input is one line for each fault and exit code 2; a refusal or a log that is down is exit code 1.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
@@ -24,13 +24,20 @@
 
 private val yaml = Yaml(configuration = YamlConfiguration(strictMode = true))
 
+/** What faults call the two lists. */
+public data class ListNames(
+    val customers: String = CUSTOMERS_FILE,
+    val entitlements: String = ENTITLEMENTS_FILE
+)
+
 /** Reads both lists as revision [revision], or returns their faults. */
 public fun readLists(
     texts: ListTexts,
-    revision: RevisionNumber
+    revision: RevisionNumber,
+    names: ListNames = ListNames()
 ): Result<Configuration, PersistentList<ListFault>> = zip(
-    { decode(CUSTOMERS_FILE, texts.customers, CustomersDocument.serializer()) },
-    { decode(ENTITLEMENTS_FILE, texts.entitlements, EntitlementsDocument.serializer()) }
+    { decode(names.customers, texts.customers, CustomersDocument.serializer()) },
+    { decode(names.entitlements, texts.entitlements, EntitlementsDocument.serializer()) }
 ) { customers, entitlements -> customers to entitlements }
     .flatMap { (customers, entitlements) ->
         val faults = validate(customers, entitlements)
--- a/app/src/main/kotlin/org/wisteriahinge/app/ConfigurationPart.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/ConfigurationPart.kt
@@ -95,4 +95,6 @@
     }
 }
 
-private val validatingReader = ListReader { lists, revision -> readLists(lists, revision).get() }
+/** Validates published lists in the file format of this version. */
+internal val validatingReader: ListReader =
+    ListReader { lists, revision -> readLists(lists, revision).get() }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -14,6 +14,9 @@
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.membership.Members
+import org.wisteriahinge.core.membership.MembershipEvent
+import org.wisteriahinge.core.membership.PeerMessage
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
@@ -42,13 +45,17 @@
     private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
+    private val peers: PeerNetwork? =
+        settings.peers?.let { PeerNetwork(it, registry, peerListener(), clock) }
     private val configuration = ConfigurationPart(
         settings.configurationTiming,
         log,
         logRing,
         registry,
-        clock
-    ) { callsRing.offerWaiting(CallMessage(CallEvent.Configured(it))) }
+        clock,
+        peers?.let { ConfigurationPeers(it.id, it.link) },
+        ::apply
+    )
     private val backend = BackendClient(settings.maxConnectionsPerTarget)
     private val server = CallerServer(
         CallerServerSettings(
@@ -72,16 +79,29 @@
         if (effect is CallEffect.Count) metrics.count(effect.counter)
     }
 
+    private fun apply(configuration: Configuration) {
+        callsRing.offerWaiting(CallMessage(CallEvent.Configured(configuration)))
+        peers?.report(MembershipEvent.RevisionChanged(configuration.revision))
+    }
+
+    private fun peerListener() = object : PeerListener {
+        override fun membersChanged(members: Members) = configuration.membersChanged(members)
+
+        override fun received(message: PeerMessage) = configuration.received(message)
+    }
+
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
         logDuty.start()
         configuration.start()
+        peers?.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        peers?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -16,5 +16,7 @@
     public val defaultTimeout: Duration = Duration.ofSeconds(10),
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
-    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    /** Null for an instance without peers. */
+    public val peers: PeerSettings? = null
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/Main.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Main.kt
@@ -1,27 +1,12 @@
-@file:OptIn(ExperimentalCli::class)
-
 package org.wisteriahinge.app
 
 import kotlin.system.exitProcess
-import kotlinx.cli.ArgParser
-import kotlinx.cli.ExperimentalCli
+import kotlinx.collections.immutable.toPersistentMap
+import org.wisteriahinge.app.command.CommandContext
 
-/** Entry point of the one binary; each subcommand is a class of its own. */
+/** Entry point of the one binary. A running instance keeps the process alive. */
 public fun main(args: Array<String>) {
-    val parser = ArgParser("wisteriahinge")
-    parser.subcommands(RunCommand(), PublishCommand(), HashSecretCommand())
-    if (args.isEmpty()) {
-        System.err.println("wisteriahinge: a command is required; see 'wisteriahinge --help'")
-        exitProcess(ExitCode.USAGE)
-    }
-    parser.parse(args)
-}
-
-/** Exit codes of every command. */
-public object ExitCode {
-    /** The command was refused or failed. */
-    public const val FAILED: Int = 1
-
-    /** Wrong usage or bad input. */
-    public const val USAGE: Int = 2
+    val context = CommandContext(System.getenv().toPersistentMap(), System.out, System.err)
+    val code = CommandLine(context).run(args.toList())
+    if (code != ExitCode.DONE) exitProcess(code)
 }
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/ListFiles.kt
@@ -0,0 +1,37 @@
+package org.wisteriahinge.app.command
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import java.io.File
+import java.io.IOException
+import org.wisteriahinge.adapters.lists.ListNames
+import org.wisteriahinge.adapters.lists.readLists
+import org.wisteriahinge.core.configuration.ListTexts
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.RevisionNumber
+
+/** The two lists as files. */
+internal data class ListFiles(val customers: String, val entitlements: String) {
+    /** Reads and validates both; faults name these files. */
+    fun read(): Result<ReadLists, List<String>> = text(customers).flatMap { first ->
+        text(entitlements).flatMap { second ->
+            val texts = ListTexts(first, second)
+            readLists(texts, RevisionNumber(1), ListNames(customers, entitlements))
+                .map { ReadLists(texts, it) }
+                .mapError { faults -> faults.map { it.toString() } }
+        }
+    }
+
+    private fun text(path: String): Result<String, List<String>> = try {
+        Ok(File(path).readText())
+    } catch (e: IOException) {
+        Err(listOf("cannot read '$path' (${e.message}); name a readable file"))
+    }
+}
+
+/** Valid lists with their texts. */
+internal data class ReadLists(val texts: ListTexts, val configuration: Configuration)
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -0,0 +1,37 @@
+package org.wisteriahinge.app.settings
+
+import java.time.Duration
+import org.wisteriahinge.app.InstanceSettings
+import org.wisteriahinge.app.PeerSettings
+import org.wisteriahinge.core.configuration.ConfigurationTiming
+import org.wisteriahinge.core.model.Zone
+
+/** The settings of an instance; call only when there are no faults. */
+internal fun SettingValues.toInstanceSettings(seed: Long): InstanceSettings = InstanceSettings(
+    zone = Zone(get(Settings.zone)),
+    callerHost = get(Settings.callerHost),
+    callerPort = int(Settings.callerPort),
+    logUrl = get(Settings.logUrl),
+    credentialKey = get(Settings.credentialKey),
+    seed = seed,
+    logTimeout = Duration.ofMillis(long(Settings.logTimeoutMillis)),
+    defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
+    maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
+    maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
+    configurationTiming = ConfigurationTiming(
+        retention = Duration.ofSeconds(long(Settings.logRetentionSeconds))
+    ),
+    peers = toPeerSettings()
+)
+
+private fun SettingValues.toPeerSettings(): PeerSettings? =
+    get(Settings.instanceListUrl).takeIf { it.isNotEmpty() }?.let { url ->
+        PeerSettings(
+            name = get(Settings.instanceName),
+            zone = Zone(get(Settings.zone)),
+            host = get(Settings.peerHost),
+            port = int(Settings.peerPort),
+            instanceListUrl = url,
+            key = get(Settings.peerKey)
+        )
+    }
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
@@ -0,0 +1,47 @@
+package org.wisteriahinge.app.settings
+
+import java.net.URI
+import java.net.URISyntaxException
+
+/** The form of a setting's value. [expected] completes the sentence "expected ...". */
+internal sealed class SettingKind(val expected: String) {
+    /** Any text without blanks. */
+    data object Word : SettingKind("a word of 1 to 100 characters without blanks")
+
+    /** A host name or an IP number. */
+    data object Host : SettingKind("a host name or an IP number")
+
+    /** The base URL of a service. */
+    data object Url : SettingKind("a URL such as http://10.0.0.1:9000, without a final slash")
+
+    /** A whole number of [unit] from [min] to [max]. */
+    data class Whole(val unit: String, val min: Long, val max: Long) :
+        SettingKind("a whole number of $unit from $min to $max")
+
+    /** A key that is never printed. */
+    data object Secret : SettingKind("at least $MIN_SECRET_LENGTH characters")
+
+    /** Whether [text] has this form. */
+    fun accepts(text: String): Boolean = when (this) {
+        Word -> text.length in 1..MAX_WORD_LENGTH && text.none { it.isWhitespace() }
+        Host -> HOST.matches(text)
+        Url -> isServiceUrl(text)
+        is Whole -> text.toLongOrNull()?.let { it in min..max } == true
+        Secret -> text.length >= MIN_SECRET_LENGTH
+    }
+
+    private companion object {
+        const val MAX_WORD_LENGTH = 100
+
+        /** Shorter keys can be guessed from a hash that becomes known. */
+        const val MIN_SECRET_LENGTH = 16
+        val HOST = Regex("[A-Za-z0-9._:-]{1,253}")
+    }
+}
+
+private fun isServiceUrl(text: String): Boolean = try {
+    val uri = URI(text)
+    uri.scheme in setOf("http", "https") && uri.host != null && !text.endsWith('/')
+} catch (_: URISyntaxException) {
+    false
+}
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -0,0 +1,120 @@
+package org.wisteriahinge.app.settings
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/** A setting of the command line. [default] is null when a value must be given. */
+internal data class SettingSpec(
+    val name: String,
+    val kind: SettingKind,
+    val default: String?,
+    val help: String
+) {
+    /** The flag that sets it. */
+    val flag: String get() = "--$name"
+
+    /** The environment variable that sets it when the flag is absent. */
+    val variable: String get() = "WISTERIAHINGE_" + name.uppercase().replace('-', '_')
+
+    /** The flag that names a file with the value; only secrets have one. */
+    val fileFlagName: String? get() = if (kind == SettingKind.Secret) "$name-file" else null
+
+    /** The environment variable that names a file with the value. */
+    val fileVariable: String get() = variable + "_FILE"
+
+    /** Help with unit, bounds, default and environment variable. */
+    val description: String
+        get() = "$help; ${kind.expected}; ${default?.let { "default '$it'" } ?: "no default"}; " +
+            "or $variable"
+}
+
+/** All settings, in the order in which they are printed. */
+internal object Settings {
+    val zone = SettingSpec("zone", SettingKind.Word, null, "Zone of this instance")
+    val instanceName = SettingSpec(
+        "instance-name",
+        SettingKind.Word,
+        "instance",
+        "Name of this instance in the platform's instance list"
+    )
+    val callerHost =
+        SettingSpec("caller-host", SettingKind.Host, "127.0.0.1", "Address that serves callers")
+    val callerPort = port("caller-port", "8080", "Port that serves callers, 0 for any free one")
+    val peerHost =
+        SettingSpec("peer-host", SettingKind.Host, "127.0.0.1", "Address for other instances")
+    val peerPort = port("peer-port", "8082", "Port for other instances, 0 for any free one")
+    val instanceListUrl = SettingSpec(
+        "instance-list-url",
+        SettingKind.Url,
+        "",
+        "Platform's instance list; empty for an instance without peers"
+    )
+    val logUrl = SettingSpec("log-url", SettingKind.Url, null, "Platform's log service")
+    val logTimeoutMillis = SettingSpec(
+        "log-timeout-ms",
+        SettingKind.Whole("ms", 100, 60_000),
+        "5000",
+        "Longest wait for one operation on the log"
+    )
+    val logRetentionSeconds = SettingSpec(
+        "log-retention-s",
+        SettingKind.Whole("s", 600, 31_536_000),
+        "86400",
+        "How long the log keeps records; snapshots are rewritten after an eighth of it"
+    )
+    val defaultTimeoutMillis = SettingSpec(
+        "default-timeout-ms",
+        SettingKind.Whole("ms", 1, 3_600_000),
+        "10000",
+        "Time for a call whose caller states none"
+    )
+    val maxTimeoutMillis = SettingSpec(
+        "max-timeout-ms",
+        SettingKind.Whole("ms", 1, 3_600_000),
+        "600000",
+        "Longest time that a caller can ask for"
+    )
+    val maxConnectionsPerTarget = SettingSpec(
+        "max-connections-per-target",
+        SettingKind.Whole("connections", 1, 250),
+        "13",
+        "Connections of this instance to one target; all instances together may open 250"
+    )
+    val credentialKey = SettingSpec(
+        "credential-key",
+        SettingKind.Secret,
+        null,
+        "Secret key of the deployment for hashes of callers' secrets"
+    )
+    val peerKey = SettingSpec(
+        "peer-key",
+        SettingKind.Secret,
+        "",
+        "Secret key of the deployment for messages between instances"
+    )
+
+    /** What `run` and `settings` use. */
+    val ofInstance: PersistentList<SettingSpec> = persistentListOf(
+        zone,
+        instanceName,
+        callerHost,
+        callerPort,
+        peerHost,
+        peerPort,
+        instanceListUrl,
+        logUrl,
+        logTimeoutMillis,
+        logRetentionSeconds,
+        defaultTimeoutMillis,
+        maxTimeoutMillis,
+        maxConnectionsPerTarget,
+        credentialKey,
+        peerKey
+    )
+
+    /** What the commands use that read or write the log. */
+    val ofLogCommands: PersistentList<SettingSpec> = persistentListOf(logUrl, logTimeoutMillis)
+
+    private fun port(name: String, default: String, help: String) =
+        SettingSpec(name, SettingKind.Whole("port number", 0, 65_535), default, help)
+}
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
@@ -0,0 +1,138 @@
+package org.wisteriahinge.app.settings
+
+import java.io.File
+import java.io.IOException
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+
+/** Where the value of a setting comes from. */
+internal sealed interface SettingSource {
+    val text: String
+
+    data class Flag(val flag: String) : SettingSource {
+        override val text get() = "flag $flag"
+    }
+
+    data class Variable(val name: String) : SettingSource {
+        override val text get() = "environment variable $name"
+    }
+
+    data class FileContent(val path: String) : SettingSource {
+        override val text get() = "file $path"
+    }
+
+    data object Default : SettingSource {
+        override val text get() = "default"
+    }
+}
+
+/** The value in use and its source. */
+internal data class SettingValue(
+    val spec: SettingSpec,
+    val text: String,
+    val source: SettingSource
+) {
+    /** A line for operators; secrets are replaced. */
+    fun printed(): String {
+        val shown = when {
+            text.isEmpty() -> "(none)"
+            spec.kind == SettingKind.Secret -> "(secret, ${text.length} characters)"
+            else -> text
+        }
+        return "${spec.name} = $shown   # ${source.text}"
+    }
+}
+
+/** The values of all settings of a command, or why some of them cannot be used. */
+internal data class SettingValues(
+    val byName: PersistentMap<String, SettingValue>,
+    val faults: PersistentList<String>
+) {
+    val all: List<SettingValue> get() = byName.values.toList()
+
+    operator fun get(spec: SettingSpec): String = byName.getValue(spec.name).text
+
+    fun long(spec: SettingSpec): Long = get(spec).toLong()
+
+    fun int(spec: SettingSpec): Int = get(spec).toInt()
+}
+
+/** What was given to the process: flags by name without dashes, and environment variables. */
+internal data class GivenSettings(
+    val flags: PersistentMap<String, String>,
+    val environment: PersistentMap<String, String>
+)
+
+/** Finds the value of each of [specs]; flags come before the environment, then files. */
+internal fun resolveSettings(
+    specs: PersistentList<SettingSpec>,
+    given: GivenSettings
+): SettingValues = specs.fold(
+    SettingValues(persistentMapOf(), persistentListOf())
+) { values, spec -> values.resolve(spec, given) }.checkTogether()
+
+private fun SettingValues.resolve(spec: SettingSpec, given: GivenSettings): SettingValues {
+    val found = find(spec, given)
+    val value = found.value ?: return copy(faults = faults.addAll(listOfNotNull(found.fault)))
+    val mayBeEmpty = value.text.isEmpty() && spec.default?.isEmpty() == true
+    return if (mayBeEmpty || spec.kind.accepts(value.text)) {
+        copy(byName = byName.put(spec.name, value))
+    } else {
+        val shown = if (spec.kind == SettingKind.Secret) "a secret" else "'${value.text}'"
+        copy(
+            faults = faults.add(
+                "${spec.name}: found $shown from ${value.source.text}, " +
+                    "expected ${spec.kind.expected}; correct it or leave it out"
+            )
+        )
+    }
+}
+
+private class Found(val value: SettingValue?, val fault: String? = null)
+
+private fun find(spec: SettingSpec, given: GivenSettings): Found {
+    val flag = given.flags[spec.name]
+    val variable = given.environment[spec.variable]
+    val file = spec.fileFlagName?.let { given.flags[it] ?: given.environment[spec.fileVariable] }
+    return when {
+        flag != null -> Found(SettingValue(spec, flag, SettingSource.Flag(spec.flag)))
+        variable != null ->
+            Found(SettingValue(spec, variable, SettingSource.Variable(spec.variable)))
+        file != null -> readSecret(spec, file)
+        spec.default != null ->
+            Found(SettingValue(spec, spec.default, SettingSource.Default))
+        else -> Found(null, missing(spec))
+    }
+}
+
+private fun missing(spec: SettingSpec): String {
+    val file = spec.fileFlagName?.let { ", or a file by --$it or ${spec.fileVariable}" }.orEmpty()
+    return "${spec.name}: no value, expected ${spec.kind.expected}; " +
+        "set ${spec.flag} or ${spec.variable}$file"
+}
+
+private fun readSecret(spec: SettingSpec, path: String): Found = try {
+    Found(SettingValue(spec, File(path).readText().trim(), SettingSource.FileContent(path)))
+} catch (e: IOException) {
+    Found(null, "${spec.name}: cannot read '$path' (${e.message}); name a readable file")
+}
+
+/** Faults that no setting has alone. */
+private fun SettingValues.checkTogether(): SettingValues {
+    val default = byName[Settings.defaultTimeoutMillis.name]?.text?.toLongOrNull()
+    val max = byName[Settings.maxTimeoutMillis.name]?.text?.toLongOrNull()
+    val timeouts = "default-timeout-ms: found $default, expected at most max-timeout-ms ($max); " +
+        "lower one or raise the other"
+    val peerKey = "peer-key: no value, expected one because instance-list-url is set; set " +
+        "${Settings.peerKey.variable} or a file by ${Settings.peerKey.fileVariable}"
+    val hasPeers = byName[Settings.instanceListUrl.name]?.text?.isNotEmpty() == true
+    val lacksKey = byName[Settings.peerKey.name]?.text?.isEmpty() == true
+    val found = listOfNotNull(
+        timeouts.takeIf { default != null && max != null && default > max },
+        peerKey.takeIf { hasPeers && lacksKey }
+    )
+    return copy(faults = (faults + found).toPersistentList())
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/configuration/RevisionHistory.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/configuration/RevisionHistory.kt
@@ -23,7 +23,8 @@
 public data class JudgedRecord(val record: ConfigurationRecord, val verdict: RecordVerdict)
 
 /**
- * The records after a snapshot, or from the start of the log, with their verdicts, and the revision in force after them.
+ * The records after a snapshot, or from the start of the log, with their verdicts, and the
+ * revision in force after them.
  *
  * [inForce] is null before the first revision.
  */
