Group the log's settings of an instance

Cause: the constructor of InstanceSettings reached the linter's bound of 12 parameters. Change: LogSettings holds the timeout and the timing of the configuration. Conclusion: other parts can add settings without a change of the linter.

--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -42,13 +42,13 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
-    private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
+    private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
     private val peers: PeerNetwork? =
         settings.peers?.let { PeerNetwork(it, registry, peerListener(), clock) }
     private val configuration = ConfigurationPart(
-        settings.configurationTiming,
+        settings.log.configurationTiming,
         log,
         logRing,
         registry,
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -12,11 +12,16 @@
     public val logUrl: String,
     public val credentialKey: String,
     public val seed: Long,
-    public val logTimeout: Duration = Duration.ofSeconds(5),
+    public val log: LogSettings = LogSettings(),
     public val defaultTimeout: Duration = Duration.ofSeconds(10),
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
-    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
     /** Null for an instance without peers. */
     public val peers: PeerSettings? = null
 )
+
+/** How an instance uses the log. [timeout] is for one operation. */
+public class LogSettings(
+    public val timeout: Duration = Duration.ofSeconds(5),
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
+)
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -2,6 +2,7 @@
 
 import java.time.Duration
 import org.wisteriahinge.app.InstanceSettings
+import org.wisteriahinge.app.LogSettings
 import org.wisteriahinge.app.PeerSettings
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
@@ -14,13 +15,15 @@
     logUrl = get(Settings.logUrl),
     credentialKey = get(Settings.credentialKey),
     seed = seed,
-    logTimeout = Duration.ofMillis(long(Settings.logTimeoutMillis)),
+    log = LogSettings(
+        timeout = Duration.ofMillis(long(Settings.logTimeoutMillis)),
+        configurationTiming = ConfigurationTiming(
+            retention = Duration.ofSeconds(long(Settings.logRetentionSeconds))
+        )
+    ),
     defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
     maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
-    configurationTiming = ConfigurationTiming(
-        retention = Duration.ofSeconds(long(Settings.logRetentionSeconds))
-    ),
     peers = toPeerSettings()
 )
 
