Add at-most-once claims and a stateful fuzz world

Cause: work that may not be repeated was sent without a claim, so a resend at another instance could run it twice.

Change: core.once decides claims on the stream claims (first offset wins, read-back, age checked twice, horizon after records that expired unread, release, retained answers, inquiries to the holder). A stage suspends a call until its claim is settled. bench.fuzz runs the decision states of several instances against a fake log, targets and network.

The duties are not wired into the instance yet.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -9,6 +9,7 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
+import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.copyTo
@@ -28,6 +29,7 @@
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.Refusal
 
@@ -54,6 +56,7 @@
             when (effect) {
                 is CallEffect.Forward -> attempt(effect.attempt)
                 is CallEffect.Refuse -> return call.respondProblem(effect.refusal, request)
+                is CallEffect.DeliverRetained -> return call.respondRetained(effect.answer)
                 is CallEffect.Finished -> return
                 is CallEffect.Deliver, is CallEffect.CancelAttempt -> Unit
             }
@@ -140,6 +143,14 @@
     }
 }
 
+internal suspend fun ApplicationCall.respondRetained(answer: RetainedAnswer) {
+    respondBytes(
+        bytes = answer.body.toByteArray(),
+        contentType = answer.contentType?.let(ContentType::parse),
+        status = HttpStatusCode.fromValue(answer.status)
+    )
+}
+
 internal suspend fun ApplicationCall.respondProblem(refusal: Refusal, request: CallRequest) {
     refusal.retryAfter?.let { response.header(HttpHeaders.RetryAfter, it.toSeconds().toString()) }
     respondText(
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
@@ -0,0 +1,172 @@
+package org.wisteriahinge.bench.fuzz
+
+import com.github.f4b6a3.uuid.UuidCreator
+import java.time.Duration
+import java.time.Instant
+import kotlin.random.Random
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.call.PresentedCredential
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.CredentialId
+import org.wisteriahinge.core.model.IdempotencyKey
+import org.wisteriahinge.core.model.RequestDigest
+
+private const val MIN_NODES = 2
+private const val MAX_NODES = 5
+private const val CLOCK_ERROR_MILLIS = 1_000
+
+/** One kind of step; [weight] is its share of the steps of a run. */
+internal sealed class FuzzKind(val name: String, val weight: Int) {
+    data object Send : FuzzKind("send", 20)
+    data object SendOddKey : FuzzKind("send_odd_key", 2)
+    data object Resend : FuzzKind("resend", 24)
+    data object ResendChanged : FuzzKind("resend_changed", 2)
+    data object Cancel : FuzzKind("cancel", 5)
+    data object Deliver : FuzzKind("deliver", 30)
+    data object Advance : FuzzKind("advance", 14)
+    data object AdvanceLong : FuzzKind("advance_long", 3)
+    data object LogChanges : FuzzKind("log_changes", 6)
+    data object LogRecovers : FuzzKind("log_recovers", 6)
+    data object LogExpires : FuzzKind("log_expires", 3)
+    data object NodeStarts : FuzzKind("node_starts", 3)
+    data object NodeCrashes : FuzzKind("node_crashes", 3)
+    data object NodePauses : FuzzKind("node_pauses", 8)
+    data object NodeResumes : FuzzKind("node_resumes", 8)
+    data object ClockShifts : FuzzKind("clock_shifts", 3)
+    data object TargetChanges : FuzzKind("target_changes", 6)
+    data object TargetRecovers : FuzzKind("target_recovers", 8)
+    data object TargetCrashes : FuzzKind("target_crashes", 3)
+    data object MessagesChange : FuzzKind("messages_change", 3)
+
+    companion object {
+        val all: List<FuzzKind>
+            get() = listOf(
+                Send, SendOddKey, Resend, ResendChanged, Cancel, Deliver, Advance, AdvanceLong,
+                LogChanges, LogRecovers, LogExpires, NodeStarts, NodeCrashes, NodePauses,
+                NodeResumes, ClockShifts, TargetChanges, TargetRecovers, TargetCrashes,
+                MessagesChange
+            )
+    }
+}
+
+/** A step of a run; [draw] decides its details. */
+internal data class FuzzAction(val kind: FuzzKind, val draw: Int) {
+    override fun toString(): String = "${kind.name}:$draw"
+}
+
+/** Performs [action]; a step that does not apply to this world changes nothing. */
+internal fun World.perform(action: FuzzAction): World {
+    val random = Random(action.draw)
+    return when (action.kind) {
+        FuzzKind.Send -> send(random, newRequest(random, time))
+        FuzzKind.SendOddKey -> send(random, newRequest(random, oddTime(random)))
+        FuzzKind.Resend -> requests.pick(random)?.let { send(random, it) } ?: this
+        FuzzKind.ResendChanged -> requests.pick(random)?.let { send(random, changed(random, it)) }
+            ?: this
+        FuzzKind.Cancel -> cancel(random)
+        FuzzKind.Deliver -> deliver(random.nextInt(1, 12))
+        FuzzKind.Advance -> advance(millis(random.nextInt(1, 1_000)))
+        FuzzKind.AdvanceLong -> advance(millis(random.nextInt(1_000, 30_000)))
+        FuzzKind.LogChanges -> copy(logMode = faultyLogModes[random.nextInt(faultyLogModes.size)])
+        FuzzKind.LogRecovers -> copy(logMode = LogMode.Up)
+        FuzzKind.LogExpires -> copy(claims = claims.expire(random.nextInt(1, 20)))
+        FuzzKind.NodeStarts ->
+            if (nodes.size < MAX_NODES) startNode(clockError(random)) else this
+        FuzzKind.NodeCrashes -> if (nodes.size > MIN_NODES) crashNode(random) else this
+        FuzzKind.NodePauses -> pick(random)?.let { update(it.copy(paused = true)) } ?: this
+        FuzzKind.NodeResumes -> resume(random)
+        FuzzKind.ClockShifts ->
+            pick(random)?.let { update(it.copy(clockOffset = clockError(random))) } ?: this
+        FuzzKind.TargetChanges -> setTarget(random, faultyTargetModes.random(random))
+        FuzzKind.TargetRecovers -> setTarget(random, TargetMode.Serving)
+        FuzzKind.TargetCrashes -> crashTarget(targets.keys.sortedBy { it.value }.random(random))
+        FuzzKind.MessagesChange -> copy(messagesFail = !messagesFail)
+    }
+}
+
+private val faultyLogModes =
+    listOf(LogMode.Down, LogMode.Slow, LogMode.LosesAnswers, LogMode.DelaysAppends)
+
+private val faultyTargetModes =
+    listOf(TargetMode.Draining, TargetMode.Shedding, TargetMode.Late, TargetMode.Down)
+
+private fun <T> List<T>.pick(random: Random): T? = takeLast(30).randomOrNull(random)
+
+private fun World.pick(random: Random): Node? =
+    nodes.values.sortedBy { it.id.value }.randomOrNull(random)
+
+private fun clockError(random: Random): Duration =
+    millis(random.nextInt(-CLOCK_ERROR_MILLIS, CLOCK_ERROR_MILLIS + 1))
+
+private fun World.newRequest(random: Random, keyTime: Instant): CallerRequest {
+    val skewed = keyTime.plus(clockError(random))
+    val key = UuidCreator.getTimeOrderedEpoch(skewed).toString()
+    return CallerRequest(
+        IdempotencyKey(key),
+        customerIds.random(random),
+        "booking ${requests.size}"
+    )
+}
+
+private fun World.oddTime(random: Random): Instant =
+    time.plus(millis(random.nextInt(-90_000, 10_000)))
+
+private fun changed(random: Random, request: CallerRequest): CallerRequest =
+    if (random.nextBoolean()) {
+        request.copy(content = request.content + " changed")
+    } else {
+        request.copy(customer = customerIds.first { it != request.customer })
+    }
+
+private fun World.send(random: Random, request: CallerRequest): World {
+    val node = pick(random) ?: return this
+    val callId = CallId(lastCall + 1)
+    val call = CallRequest(
+        callId = callId,
+        credential = PresentedCredential(CredentialId(request.customer.value), KEYED_HASH),
+        method = "POST",
+        path = "/bookings",
+        idempotencyKey = request.key,
+        digest = RequestDigest(request.content),
+        deadline = clockOf(node).plus(millis(random.nextInt(100, 20_000))),
+        depth = 0,
+        retriesAllowed = true,
+        bodyBytes = 100,
+        replayable = true
+    )
+    return copy(
+        lastCall = callId.value,
+        requests = if (request in requests) requests else requests.add(request),
+        oracle = oracle.sent(CopyRef(node.id, callId), request)
+    ).schedule(Duration.ZERO, Delivery.Calls(node.id, CallEvent.Arrived(call)))
+}
+
+private fun World.cancel(random: Random): World {
+    val node = pick(random) ?: return this
+    val callId = node.calls.calls.keys.sortedBy { it.value }.randomOrNull(random) ?: return this
+    return gone(node.id, callId)
+}
+
+private fun World.crashNode(random: Random): World {
+    val node = pick(random) ?: return this
+    return copy(nodes = nodes.remove(node.id))
+}
+
+private fun World.resume(random: Random): World {
+    val node = nodes.values.filter { it.paused }.sortedBy { it.id.value }.randomOrNull(random)
+        ?: return this
+    val running = update(node.copy(paused = false, backlog = node.backlog.clear()))
+    return node.backlog.fold(running) { world, delivery ->
+        world.schedule(Duration.ZERO, delivery)
+    }
+}
+
+private fun World.setTarget(random: Random, mode: TargetMode): World {
+    val target = targets.keys.sortedBy { it.value }.random(random)
+    return if (mode == TargetMode.Down) {
+        crashTarget(target)
+    } else {
+        copy(targets = targets.put(target, targets.getValue(target).copy(mode = mode)))
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
@@ -0,0 +1,117 @@
+package org.wisteriahinge.bench.fuzz
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.model.Allowance
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.Credential
+import org.wisteriahinge.core.model.CredentialId
+import org.wisteriahinge.core.model.Customer
+import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.Customers
+import org.wisteriahinge.core.model.Entitlements
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.model.Operation
+import org.wisteriahinge.core.model.OperationId
+import org.wisteriahinge.core.model.OperationRef
+import org.wisteriahinge.core.model.PathTemplate
+import org.wisteriahinge.core.model.Plan
+import org.wisteriahinge.core.model.PlanId
+import org.wisteriahinge.core.model.Repeatability
+import org.wisteriahinge.core.model.RevisionNumber
+import org.wisteriahinge.core.model.Service
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.Standing
+import org.wisteriahinge.core.model.Target
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.WorkClass
+import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.once.OnceSettings
+import org.wisteriahinge.core.once.OnceState
+import org.wisteriahinge.core.routing.RoutingPolicy
+import org.wisteriahinge.core.routing.RoutingState
+
+private val START: Instant = Instant.parse("2026-01-01T00:00:00Z")
+private val ZONE = Zone("zone-a")
+private const val TARGETS = 3
+private const val SLOTS = 3
+
+internal val customerIds = persistentListOf(CustomerId("delta-utility"), CustomerId("weir-3"))
+
+internal const val KEYED_HASH: String = "hash"
+
+/** A short window and retention, so that keys expire within a run. */
+internal val fuzzSettings = OnceSettings(
+    window = Duration.ofSeconds(60),
+    retainFor = Duration.ofSeconds(30),
+    maxAnswerBytes = 256,
+    maxRetainedBytes = 1_024
+)
+
+/** A world with [instances] started instances. */
+internal fun newWorld(seed: Long, instances: Int): World {
+    val empty = World(seed, START, fuzzSettings).copy(
+        targets = configuration.entitlements.services.values.flatMap { it.targets }
+            .fold(persistentHashMapOf()) { all, target -> all.put(target.id, FakeTarget()) }
+    )
+    return (1..instances).fold(empty) { world, _ -> world.startNode(Duration.ZERO) }
+}
+
+/** Starts an instance under a new id with a clock that is off by [clockOffset]. */
+internal fun World.startNode(clockOffset: Duration): World {
+    val id = InstanceId("i${lastNode + 1}")
+    val routing = RoutingState(RoutingPolicy.TwoChoices, ZONE, seed + lastNode)
+        .configured(configuration.entitlements)
+    val node = Node(
+        id = id,
+        calls = CallsState(configuration, routing),
+        once = OnceState(id, settings),
+        clockOffset = clockOffset
+    )
+    return copy(lastNode = lastNode + 1)
+        .update(node)
+        .schedule(Duration.ZERO, Delivery.Bounds(id))
+        .schedule(Duration.ZERO, Delivery.Tick(id))
+}
+
+private val booking = Operation(
+    OperationId("book"),
+    "POST",
+    PathTemplate("/bookings"),
+    Repeatability.AtMostOnce,
+    WorkClass.Short
+)
+
+private val bookings = Service(
+    ServiceId("bookings"),
+    (1..TARGETS).map { Target(TargetId("t$it"), ZONE, Address("10.0.0.$it", 80), SLOTS) }
+        .toPersistentList(),
+    persistentListOf(booking)
+)
+
+private val plan = Plan(
+    PlanId("standard"),
+    Allowance(1_000.0, 1_000, 1_000, 1_000_000, 1_000_000),
+    persistentSetOf(OperationRef(bookings.id, booking.id)),
+    weight = 1
+)
+
+internal val configuration = Configuration(
+    RevisionNumber(1),
+    Customers(
+        customerIds.fold(persistentHashMapOf()) { all, id ->
+            val credential = Credential(CredentialId(id.value), KEYED_HASH, Standing.Active)
+            all.put(id, Customer(id, plan.id, persistentListOf(credential), Standing.Active))
+        }
+    ),
+    Entitlements(
+        persistentHashMapOf(bookings.id to bookings),
+        persistentHashMapOf(plan.id to plan)
+    )
+)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -118,7 +118,7 @@
         AttemptAction.CountTruncated -> countTruncated(context)
         AttemptAction.CancelRequest ->
             CallsDecision(this).emit(CallEffect.CancelAttempt(context.callId, context.attempt.id))
-        AttemptAction.FinishCall -> finish(context.callId)
+        AttemptAction.FinishCall -> finish(context.callId, Execution.WasRun)
     }
 
 private fun CallsState.considerRetry(context: AttemptContext): CallsDecision {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -1,10 +1,12 @@
 package org.wisteriahinge.core.call
 
 import java.time.Instant
+import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.Target
+import org.wisteriahinge.core.once.OnceEvent
 
 /** One attempt of a call at one target. [number] starts at 1. */
 public data class Attempt(
@@ -36,6 +38,16 @@
     /** The call ended; its front end needs no further effect. */
     public data class Finished(override val callId: CallId) : ForCall
 
+    /** Pass the answer of an earlier copy of the request to the caller; the call ends. */
+    public data class DeliverRetained(override val callId: CallId, val answer: RetainedAnswer) :
+        ForCall
+
+    /** Ask the `once` duty for the idempotency key of a call, which waits for the settlement. */
+    public data class Claim(val request: OnceEvent.Requested) : CallEffect
+
+    /** Tell the `once` duty how a call that asked for a claim ended. */
+    public data class EndClaim(val ended: OnceEvent.Ended) : CallEffect
+
     /** Add one to a metric. */
     public data class Count(val counter: CallCounter) : CallEffect
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,10 +1,12 @@
 package org.wisteriahinge.core.call
 
+import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.once.ClaimSettlement
 
 /** What can happen to the calls of an instance. */
 public sealed interface CallEvent {
@@ -43,6 +45,12 @@
     /** A revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : CallEvent
 
+    /** The `once` duty settled the claim of a call. */
+    public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : CallEvent
+
+    /** The front end captured the whole answer that it delivers, for later copies of the request. */
+    public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : CallEvent
+
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -21,6 +21,10 @@
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
+    is CallEvent.ClaimSettled -> claimSettled(event, now) { state, call ->
+        state.startAttempt(call, now)
+    }
+    is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     CallEvent.Ticked -> CallsDecision(this)
 }
 
@@ -35,7 +39,9 @@
     configuration.check(request, now).mapBoth(
         success = { checked ->
             val call = CallInProgress(request, checked.caller, checked.matched)
-            copy(calls = calls.put(request.callId, call)).startAttempt(call, now)
+            copy(calls = calls.put(request.callId, call)).claimStage(call) { state, ready ->
+                state.startAttempt(ready, now)
+            }
         },
         failure = { reason -> refuse(request.callId, Refusal(reason, Execution.NotRun)) }
     )
@@ -45,16 +51,21 @@
     CallsDecision(copy(calls = calls.remove(callId)))
         .emit(CallEffect.Count(CallCounter.Refused(refusal.reason)))
         .emit(CallEffect.Refuse(callId, refusal))
+        .emitAll(endOfClaim(callId, refusal.execution))
 
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
+    val execution = if (call.attempts.isEmpty()) Execution.NotRun else Execution.MayHaveRun
     val abandoned = call.attempts.keys.fold(CallsDecision(this)) { decision, attemptId ->
         decision.then { it.stepAttempt(callId, attemptId, AttemptTrigger.Abandoned, now) }
     }
     return abandoned
         .emit(CallEffect.Count(CallCounter.Refused(RefusalReason.CallerGone)))
-        .then { it.finish(callId) }
+        .then { it.finish(callId, execution) }
 }
 
-internal fun CallsState.finish(callId: CallId): CallsDecision =
-    CallsDecision(copy(calls = calls.remove(callId))).emit(CallEffect.Finished(callId))
+/** Forgets a call; [execution] is what is known of its request when it may not be repeated. */
+internal fun CallsState.finish(callId: CallId, execution: Execution): CallsDecision =
+    CallsDecision(copy(calls = calls.remove(callId)))
+        .emit(CallEffect.Finished(callId))
+        .emitAll(endOfClaim(callId, execution))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -17,7 +17,8 @@
     val caller: EntitledCaller,
     val matched: MatchedOperation,
     val attempts: PersistentMap<AttemptId, AttemptInProgress> = persistentHashMapOf(),
-    val attemptsStarted: Int = 0
+    val attemptsStarted: Int = 0,
+    val claim: CallClaim = CallClaim.None
 )
 
 /** All that the decisions on calls depend on. Owned by the `calls` duty. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
@@ -126,6 +126,13 @@
         "Look up whether the earlier request took effect; then send a new key."
     )
 
+    public data object IdempotencyKeyReused : RefusalReason(
+        "idempotency_key_reused",
+        422,
+        "The idempotency key was used for another request",
+        "Send a new key for a new request; send a resend unchanged."
+    )
+
     public data object RequestInProgress : RefusalReason(
         "request_in_progress",
         409,
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/ClaimLedger.kt
@@ -0,0 +1,83 @@
+package org.wisteriahinge.core.once
+
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
+
+private const val SECONDS_PER_BUCKET = 60
+
+/**
+ * Who holds which key, as the records of the stream `claims` below [nextOffset] decide it.
+ *
+ * Records below [lostBefore] expired before they were read. They may have claimed keys up to the
+ * time [horizon], so a key that is not later than it does not count as unclaimed.
+ */
+public data class ClaimLedger(
+    val settings: OnceSettings,
+    val nextOffset: Long = 0,
+    val lostBefore: Long = 0,
+    val horizon: Instant = Instant.MIN,
+    val held: PersistentMap<KeyDigest, ClaimEntry.Claim> = persistentHashMapOf(),
+    val byMinute: PersistentMap<Long, PersistentSet<KeyDigest>> = persistentHashMapOf()
+) {
+    /** The stream is retained from [earliest] on; what came before it is lost to this reader. */
+    internal fun retainedFrom(earliest: Long, now: Instant): ClaimLedger =
+        if (earliest <= nextOffset) {
+            this
+        } else {
+            copy(
+                nextOffset = earliest,
+                lostBefore = earliest,
+                horizon = now.plus(settings.keyLead)
+            )
+        }
+
+    /** Notes the record at [offset] without its entries. */
+    internal fun reached(offset: Long, batch: ClaimBatch?): ClaimLedger {
+        val next = copy(nextOffset = offset + 1)
+        if (batch == null || lostBefore == 0L || batch.readOffset < lostBefore) return next
+        return next.copy(horizon = minOf(horizon, batch.readAt.plus(settings.keyLead)))
+    }
+
+    internal fun apply(entry: ClaimEntry, now: Instant): ClaimLedger = when (entry) {
+        is ClaimEntry.Claim -> claim(entry, now)
+        is ClaimEntry.Release -> release(entry)
+    }
+
+    private fun claim(claim: ClaimEntry.Claim, now: Instant): ClaimLedger {
+        val outdated = claim.keyTime < now.minus(settings.keepFor)
+        if (outdated || claim.key in held) return this
+        val minute = minuteOf(claim.keyTime)
+        val keys = byMinute[minute] ?: persistentHashSetOf()
+        return copy(
+            held = held.put(claim.key, claim),
+            byMinute = byMinute.put(minute, keys.add(claim.key))
+        )
+    }
+
+    private fun release(release: ClaimEntry.Release): ClaimLedger {
+        val claim = held[release.key] ?: return this
+        if (claim.id != release.id) return this
+        val minute = minuteOf(claim.keyTime)
+        val keys = byMinute[minute]?.remove(release.key) ?: persistentHashSetOf()
+        return copy(held = held.remove(release.key), byMinute = byMinute.put(minute, keys))
+    }
+
+    /** Forgets claims whose keys no instance accepts any more. */
+    internal fun prune(now: Instant): ClaimLedger {
+        val limit = minuteOf(now.minus(settings.keepFor))
+        val outdated = byMinute.keys.filter { it < limit }
+        return outdated.fold(this) { ledger, minute ->
+            val keys = ledger.byMinute[minute] ?: persistentHashSetOf()
+            ledger.copy(
+                held = keys.fold(ledger.held) { all, key -> all.remove(key) },
+                byMinute = ledger.byMinute.remove(minute)
+            )
+        }
+    }
+
+    private fun minuteOf(time: Instant): Long =
+        Math.floorDiv(time.epochSecond, SECONDS_PER_BUCKET.toLong())
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceAppends.kt
@@ -0,0 +1,70 @@
+package org.wisteriahinge.core.once
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.toPersistentList
+
+private const val NANOS_PER_SECOND = 1_000_000_000L
+
+/** The shortest time between two appends of one instance that keeps all within the budget. */
+public fun OnceState.appendInterval(): Duration =
+    Duration.ofNanos(NANOS_PER_SECOND * liveInstances / settings.appendsPerSecond)
+
+/** Starts an append when none is in flight, the pacing allows it and there is work. */
+internal fun OnceState.appendIfDue(now: Instant): OnceDecision {
+    if (inFlight != null || now < nextAppendAt) return OnceDecision(this)
+    val claims = pending.take(settings.maxEntriesPerBatch)
+    val due = releases.values.filter { it.isDue(now, settings.releaseRetry) }
+        .take(settings.maxEntriesPerBatch - claims.size)
+    if (claims.isEmpty() && due.isEmpty()) return OnceDecision(this)
+    val entries = due.map { it.release } + claims
+    val batch = ClaimBatch(
+        appendId = "$instance-$lastAppend",
+        readOffset = ledger.nextOffset,
+        readAt = now,
+        entries = entries.toPersistentList()
+    )
+    val marked = due.fold(releases) { all, open ->
+        all.put(open.release.key, open.copy(lastAppendAt = now))
+    }
+    return OnceDecision(
+        copy(
+            lastAppend = lastAppend + 1,
+            pending = pending.drop(claims.size).toPersistentList(),
+            releases = marked,
+            inFlight = batch,
+            nextAppendAt = now.plus(appendInterval())
+        )
+    ).emit(OnceEffect.Append(batch))
+}
+
+private fun OpenRelease.isDue(now: Instant, retry: Duration): Boolean =
+    lastAppendAt == null || lastAppendAt.plus(retry) <= now
+
+/**
+ * Ends the append in flight.
+ *
+ * Only [AppendOutcome.Rejected] refuses its claims at once; with [AppendOutcome.Unknown] they wait
+ * for the stream to show the record until their deadline. A record that appears after its claims
+ * were refused is released when it is read.
+ */
+internal fun OnceState.appendSettled(event: OnceEvent.AppendSettled): OnceDecision {
+    val batch = inFlight?.takeIf { it.appendId == event.appendId } ?: return OnceDecision(this)
+    val ended = copy(inFlight = null)
+    return when (event.outcome) {
+        AppendOutcome.Appended, AppendOutcome.Unknown -> OnceDecision(ended)
+        AppendOutcome.Rejected -> batch.entries.filterIsInstance<ClaimEntry.Claim>()
+            .fold(OnceDecision(ended)) { decision, claim ->
+                decision.then { it.refuseWaiting(claim) }
+            }
+    }
+}
+
+private fun OnceState.refuseWaiting(claim: ClaimEntry.Claim): OnceDecision {
+    val phase = ownWithId(claim.id, claim.key)?.phase
+    return if (phase is OwnPhase.Waiting) {
+        drop(phase.callId).settle(phase.callId, unavailable)
+    } else {
+        OnceDecision(this)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceTail.kt
@@ -0,0 +1,73 @@
+package org.wisteriahinge.core.once
+
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
+
+/** Folds records of the stream into the ledger and settles the claims of this instance in them. */
+internal fun OnceState.read(batches: PersistentList<ReadBatch>, now: Instant): OnceDecision =
+    batches.filter { it.offset >= ledger.nextOffset }
+        .fold(OnceDecision(this)) { decision, read ->
+            decision.then { it.readOne(read, now) }
+        }
+
+private fun OnceState.readOne(read: ReadBatch, now: Instant): OnceDecision {
+    val reached = copy(ledger = ledger.reached(read.offset, read.batch))
+    val entries = read.batch?.entries.orEmpty()
+    return entries.fold(OnceDecision(reached)) { decision, entry ->
+        decision.update { it.copy(ledger = it.ledger.apply(entry, now)) }
+            .then { if (entry.id.instance == instance) it.readOwn(entry, now) else it.unchanged() }
+    }
+}
+
+private fun OnceState.unchanged() = OnceDecision(this)
+
+private fun OnceState.readOwn(entry: ClaimEntry, now: Instant): OnceDecision = when (entry) {
+    is ClaimEntry.Claim -> readOwnClaim(entry, now)
+    is ClaimEntry.Release -> {
+        val seen = releases[entry.key]?.release?.id == entry.id
+        OnceDecision(if (seen) copy(releases = releases.remove(entry.key)) else this)
+    }
+}
+
+private fun OnceState.readOwnClaim(claim: ClaimEntry.Claim, now: Instant): OnceDecision {
+    val mine = ownWithId(claim.id, claim.key)
+    val winner = ledger.held[claim.key]
+    val won = winner?.id == claim.id
+    if (mine == null) return OnceDecision(if (won) release(claim) else this)
+    return when (val phase = mine.phase) {
+        is OwnPhase.Waiting -> settleWaiting(mine, phase, winner, now)
+        is OwnPhase.Granted, is OwnPhase.Answered, OwnPhase.Unknown -> unchanged()
+    }
+}
+
+/** The key's age is checked here again, because the claim may have waited for any time. */
+private fun OnceState.settleWaiting(
+    mine: OwnClaim,
+    phase: OwnPhase.Waiting,
+    winner: ClaimEntry.Claim?,
+    now: Instant
+): OnceDecision {
+    val claim = mine.claim
+    val dropped = drop(phase.callId)
+    val unused = if (winner?.id == claim.id) dropped.release(claim) else dropped
+    return when {
+        !isAcceptable(claim.keyTime, now) || winner == null ->
+            unused.settle(phase.callId, expiredKey)
+        winner.id != claim.id -> dropped.resend(phase.callId, winner, claim.fingerprint, now)
+        claim.keyTime <= ledger.horizon -> unused.settle(phase.callId, unknownOutcome)
+        phase.deadline <= now -> unused.settle(phase.callId, unavailable)
+        else -> grant(mine, phase)
+    }
+}
+
+private fun OnceState.grant(mine: OwnClaim, phase: OwnPhase.Waiting): OnceDecision {
+    val granted = mine.copy(phase = OwnPhase.Granted(phase.callId))
+    return copy(own = own.put(mine.claim.key, granted))
+        .settle(phase.callId, ClaimSettlement.Granted)
+}
+
+/** Queues the release of [claim], whose request certainly did not run and never will. */
+internal fun OnceState.release(claim: ClaimEntry.Claim): OnceState {
+    val release = ClaimEntry.Release(claim.id, claim.key)
+    return copy(releases = releases.put(claim.key, OpenRelease(release, lastAppendAt = null)))
+}
