--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.app
 
+import com.github.f4b6a3.uuid.UuidCreator
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.Closeable
 import java.time.Clock
@@ -16,13 +17,17 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
+import org.wisteriahinge.runtime.AppendRequest
 import org.wisteriahinge.runtime.CallMessage
 import org.wisteriahinge.runtime.CallsDuty
+import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Ring
 
 private const val CALLS_RING_CAPACITY = 8_192
+private const val LOG_RING_CAPACITY = 1_024
 private const val MAX_CALLS = 1_024
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
@@ -40,6 +45,17 @@
     private val tail = ConfigurationTailDuty(log) {
         callsRing.offerReserved(CallMessage(CallEvent.Configured(it)))
     }
+    private val appends = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
+    private val appender = LogDuty(appends, log)
+    private val once = OnceService(
+        InstanceId(UuidCreator.getTimeOrderedEpoch().toString()),
+        settings.once,
+        log,
+        appends,
+        callsRing,
+        UnconnectedPeers,
+        clock
+    )
     private val backend = BackendClient(settings.maxConnectionsPerTarget)
     private val server = CallerServer(
         CallerServerSettings(
@@ -60,19 +76,28 @@
     )
 
     private fun perform(effect: CallEffect) {
-        if (effect is CallEffect.Count) metrics.count(effect.counter)
+        when (effect) {
+            is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Claim -> once.request(effect.request)
+            is CallEffect.EndClaim -> once.end(effect.ended)
+            is CallEffect.ForCall -> Unit
+        }
     }
 
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
         tail.start()
+        appender.start()
+        once.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
         tail.stop(STOP_TIMEOUT)
+        once.close()
+        appender.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/core/src/main/kotlin/org/wisteriahinge/core/once/OnceAppends.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceAppends.kt
@@ -63,7 +63,7 @@
 private fun OnceState.refuseWaiting(claim: ClaimEntry.Claim): OnceDecision {
     val phase = ownWithId(claim.id, claim.key)?.phase
     return if (phase is OwnPhase.Waiting) {
-        drop(phase.callId).settle(phase.callId, unavailable)
+        drop(phase.callId).settle(phase.callId, claimUnavailable)
     } else {
         OnceDecision(this)
     }
--- a/core/src/main/kotlin/org/wisteriahinge/core/once/OnceDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceDecide.kt
@@ -40,9 +40,9 @@
         !isAcceptable(keyTime, now) -> settle(event.callId, expiredKey)
         mine != null -> settle(event.callId, answerFrom(mine, event.fingerprint))
         winner != null -> resend(event.callId, winner, event.fingerprint, now)
-        !isReady(now) -> settle(event.callId, unavailable)
+        !isReady(now) -> settle(event.callId, claimUnavailable)
         keyTime <= ledger.horizon -> settle(event.callId, unknownOutcome)
-        pending.size >= settings.maxPending -> settle(event.callId, unavailable)
+        pending.size >= settings.maxPending -> settle(event.callId, claimUnavailable)
         else -> enqueue(event, key, keyTime, now)
     }
 }
@@ -103,7 +103,7 @@
     }
     val unanswered = inquiries.filterValues { it.deadline <= now }.keys
     val dropped = late.fold(OnceDecision(this)) { decision, callId ->
-        decision.update { it.drop(callId) }.then { it.settle(callId, unavailable) }
+        decision.update { it.drop(callId) }.then { it.settle(callId, claimUnavailable) }
     }
     return unanswered.fold(dropped) { decision, callId ->
         decision.update { it.copy(inquiries = it.inquiries.remove(callId)) }
@@ -139,7 +139,8 @@
 internal val reusedKey: ClaimSettlement =
     refused(RefusalReason.IdempotencyKeyReused, Execution.NotRun)
 
-internal val unavailable: ClaimSettlement =
+/** The claim cannot be made now; the call was not and will not be sent. */
+public val claimUnavailable: ClaimSettlement =
     refused(RefusalReason.ClaimUnavailable, Execution.NotRun, RETRY_AFTER_UNAVAILABLE)
 
 internal val unknownOutcome: ClaimSettlement =
--- a/core/src/main/kotlin/org/wisteriahinge/core/once/OnceTail.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceTail.kt
@@ -55,7 +55,7 @@
             unused.settle(phase.callId, expiredKey)
         winner.id != claim.id -> dropped.resend(phase.callId, winner, claim.fingerprint, now)
         claim.keyTime <= ledger.horizon -> unused.settle(phase.callId, unknownOutcome)
-        phase.deadline <= now -> unused.settle(phase.callId, unavailable)
+        phase.deadline <= now -> unused.settle(phase.callId, claimUnavailable)
         else -> grant(mine, phase)
     }
 }
