--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
@@ -16,40 +16,6 @@
 private const val MAX_NODES = 5
 private const val CLOCK_ERROR_MILLIS = 1_000
 
-/** One kind of step; [weight] is its share of the steps of a run. */
-internal sealed class FuzzKind(val name: String, val weight: Int) {
-    data object Send : FuzzKind("send", 20)
-    data object SendOddKey : FuzzKind("send_odd_key", 2)
-    data object Resend : FuzzKind("resend", 24)
-    data object ResendChanged : FuzzKind("resend_changed", 2)
-    data object Cancel : FuzzKind("cancel", 5)
-    data object Deliver : FuzzKind("deliver", 30)
-    data object Advance : FuzzKind("advance", 14)
-    data object AdvanceLong : FuzzKind("advance_long", 3)
-    data object LogChanges : FuzzKind("log_changes", 6)
-    data object LogRecovers : FuzzKind("log_recovers", 6)
-    data object LogExpires : FuzzKind("log_expires", 3)
-    data object NodeStarts : FuzzKind("node_starts", 3)
-    data object NodeCrashes : FuzzKind("node_crashes", 3)
-    data object NodePauses : FuzzKind("node_pauses", 8)
-    data object NodeResumes : FuzzKind("node_resumes", 8)
-    data object ClockShifts : FuzzKind("clock_shifts", 3)
-    data object TargetChanges : FuzzKind("target_changes", 6)
-    data object TargetRecovers : FuzzKind("target_recovers", 8)
-    data object TargetCrashes : FuzzKind("target_crashes", 3)
-    data object MessagesChange : FuzzKind("messages_change", 3)
-
-    companion object {
-        val all: List<FuzzKind>
-            get() = listOf(
-                Send, SendOddKey, Resend, ResendChanged, Cancel, Deliver, Advance, AdvanceLong,
-                LogChanges, LogRecovers, LogExpires, NodeStarts, NodeCrashes, NodePauses,
-                NodeResumes, ClockShifts, TargetChanges, TargetRecovers, TargetCrashes,
-                MessagesChange
-            )
-    }
-}
-
 /** A step of a run; [draw] decides its details. */
 internal data class FuzzAction(val kind: FuzzKind, val draw: Int) {
     override fun toString(): String = "${kind.name}:$draw"
@@ -58,33 +24,52 @@
 /** Performs [action]; a step that does not apply to this world changes nothing. */
 internal fun World.perform(action: FuzzAction): World {
     val random = Random(action.draw)
-    return when (action.kind) {
-        FuzzKind.Send -> send(random, newRequest(random, time))
-        FuzzKind.SendOddKey -> send(random, newRequest(random, oddTime(random)))
-        FuzzKind.Resend -> requests.pick(random)?.let { send(random, it) } ?: this
-        FuzzKind.ResendChanged -> requests.pick(random)?.let { send(random, changed(random, it)) }
-            ?: this
-        FuzzKind.Cancel -> cancel(random)
-        FuzzKind.Deliver -> deliver(random.nextInt(1, 12))
-        FuzzKind.Advance -> advance(millis(random.nextInt(1, 1_000)))
-        FuzzKind.AdvanceLong -> advance(millis(random.nextInt(1_000, 30_000)))
-        FuzzKind.LogChanges -> copy(logMode = faultyLogModes[random.nextInt(faultyLogModes.size)])
-        FuzzKind.LogRecovers -> copy(logMode = LogMode.Up)
-        FuzzKind.LogExpires -> copy(claims = claims.expire(random.nextInt(1, 20)))
-        FuzzKind.NodeStarts ->
-            if (nodes.size < MAX_NODES) startNode(clockError(random)) else this
-        FuzzKind.NodeCrashes -> if (nodes.size > MIN_NODES) crashNode(random) else this
-        FuzzKind.NodePauses -> pick(random)?.let { update(it.copy(paused = true)) } ?: this
-        FuzzKind.NodeResumes -> resume(random)
-        FuzzKind.ClockShifts ->
-            pick(random)?.let { update(it.copy(clockOffset = clockError(random))) } ?: this
-        FuzzKind.TargetChanges -> setTarget(random, faultyTargetModes.random(random))
-        FuzzKind.TargetRecovers -> setTarget(random, TargetMode.Serving)
-        FuzzKind.TargetCrashes -> crashTarget(targets.keys.sortedBy { it.value }.random(random))
-        FuzzKind.MessagesChange -> copy(messagesFail = !messagesFail)
+    return when (val kind = action.kind) {
+        is FuzzKind.OfCallers -> callersAct(kind, random)
+        is FuzzKind.OfTime -> timePasses(kind, random)
+        is FuzzKind.OfLog -> logActs(kind, random)
+        is FuzzKind.OfNodes -> nodesAct(kind, random)
+        is FuzzKind.OfTargets -> targetsAct(kind, random)
     }
 }
 
+private fun World.callersAct(kind: FuzzKind.OfCallers, random: Random): World = when (kind) {
+    FuzzKind.Send -> send(random, newRequest(random, time))
+    FuzzKind.SendOddKey -> send(random, newRequest(random, oddTime(random)))
+    FuzzKind.Resend -> requests.pick(random)?.let { send(random, it) } ?: this
+    FuzzKind.ResendChanged ->
+        requests.pick(random)?.let { send(random, changed(random, it)) } ?: this
+    FuzzKind.Cancel -> cancel(random)
+}
+
+private fun World.timePasses(kind: FuzzKind.OfTime, random: Random): World = when (kind) {
+    FuzzKind.Deliver -> deliver(random.nextInt(1, 12))
+    FuzzKind.Advance -> advance(millis(random.nextInt(1, 1_000)))
+    FuzzKind.AdvanceLong -> advance(millis(random.nextInt(1_000, 30_000)))
+}
+
+private fun World.logActs(kind: FuzzKind.OfLog, random: Random): World = when (kind) {
+    FuzzKind.LogChanges -> copy(logMode = faultyLogModes.random(random))
+    FuzzKind.LogRecovers -> copy(logMode = LogMode.Up)
+    FuzzKind.LogExpires -> copy(claims = claims.expire(random.nextInt(1, 20)))
+    FuzzKind.MessagesChange -> copy(messagesFail = !messagesFail)
+}
+
+private fun World.nodesAct(kind: FuzzKind.OfNodes, random: Random): World = when (kind) {
+    FuzzKind.NodeStarts -> if (nodes.size < MAX_NODES) startNode(clockError(random)) else this
+    FuzzKind.NodeCrashes -> if (nodes.size > MIN_NODES) crashNode(random) else this
+    FuzzKind.NodePauses -> pick(random)?.let { update(it.copy(paused = true)) } ?: this
+    FuzzKind.NodeResumes -> resume(random)
+    FuzzKind.ClockShifts ->
+        pick(random)?.let { update(it.copy(clockOffset = clockError(random))) } ?: this
+}
+
+private fun World.targetsAct(kind: FuzzKind.OfTargets, random: Random): World = when (kind) {
+    FuzzKind.TargetChanges -> setTarget(random, faultyTargetModes.random(random))
+    FuzzKind.TargetRecovers -> setTarget(random, TargetMode.Serving)
+    FuzzKind.TargetCrashes -> crashTarget(targets.keys.sortedBy { it.value }.random(random))
+}
+
 private val faultyLogModes =
     listOf(LogMode.Down, LogMode.Slow, LogMode.LosesAnswers, LogMode.DelaysAppends)
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldRun.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldRun.kt
@@ -11,7 +11,7 @@
 import org.wisteriahinge.core.once.ReadBatch
 import org.wisteriahinge.core.once.decide
 
-/** Time from one duty's ring to the next; equal for all messages, so that rings keep their order. */
+/** Time from one duty's ring to the next; equal for all messages, so rings keep their order. */
 internal val RING_DELAY: Duration = Duration.ofNanos(100_000)
 private val TICK: Duration = Duration.ofMillis(50)
 private val POLL: Duration = Duration.ofMillis(20)
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/fuzz/StatefulFuzzTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/fuzz/StatefulFuzzTest.kt
@@ -20,7 +20,7 @@
  * Guards at-most-once work, certainty of "not run" and the caller's own whole answer against any
  * order of log, network, clock, instance and target faults.
  */
-class StatefulFuzzTest {
+internal class StatefulFuzzTest {
     @Property(tries = 150, seed = "$SEED")
     fun `no sequence of faults breaks a guarantee`(@ForAll("chains") chain: ActionChain<World>) {
         val end = chain.run()
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -48,7 +48,7 @@
     /** The `once` duty settled the claim of a call. */
     public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : CallEvent
 
-    /** The front end captured the whole answer that it delivers, for later copies of the request. */
+    /** The front end captured the whole answer that it delivers, for later resends. */
     public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : CallEvent
 
     /** Time passed; queued calls and deadlines are looked at. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/ClaimStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/ClaimStage.kt
@@ -12,18 +12,6 @@
 import org.wisteriahinge.core.once.OnceEvent
 import org.wisteriahinge.core.once.fingerprint
 
-/** A call's claim on its idempotency key. */
-public sealed interface CallClaim {
-    /** The operation may be repeated; no claim is needed. */
-    public data object None : CallClaim
-
-    /** The call waits for the `once` duty and holds no target. */
-    public data object Waiting : CallClaim
-
-    /** The call holds the key. [answer] is set once the front end has captured the whole answer. */
-    public data class Held(val answer: RetainedAnswer? = null) : CallClaim
-}
-
 /** Asks for a claim when the operation may not be repeated; otherwise [next] goes on at once. */
 internal fun CallsState.claimStage(
     call: CallInProgress,
--- a/core/src/main/kotlin/org/wisteriahinge/core/once/OnceAppends.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceAppends.kt
@@ -48,23 +48,17 @@
  * for the stream to show the record until their deadline. A record that appears after its claims
  * were refused is released when it is read.
  */
-internal fun OnceState.appendSettled(event: OnceEvent.AppendSettled): OnceDecision {
+internal fun OnceState.appendSettled(event: OnceEvent.AppendSettled, now: Instant): OnceDecision {
     val batch = inFlight?.takeIf { it.appendId == event.appendId } ?: return OnceDecision(this)
     val ended = copy(inFlight = null)
     return when (event.outcome) {
         AppendOutcome.Appended, AppendOutcome.Unknown -> OnceDecision(ended)
         AppendOutcome.Rejected -> batch.entries.filterIsInstance<ClaimEntry.Claim>()
             .fold(OnceDecision(ended)) { decision, claim ->
-                decision.then { it.refuseWaiting(claim) }
+                decision.then { state ->
+                    state.ownWithId(claim.id, claim.key)?.let { state.giveUp(it, now) }
+                        ?: OnceDecision(state)
+                }
             }
     }
 }
-
-private fun OnceState.refuseWaiting(claim: ClaimEntry.Claim): OnceDecision {
-    val phase = ownWithId(claim.id, claim.key)?.phase
-    return if (phase is OwnPhase.Waiting) {
-        drop(phase.callId).settle(phase.callId, claimUnavailable)
-    } else {
-        OnceDecision(this)
-    }
-}
--- a/core/src/main/kotlin/org/wisteriahinge/core/once/OnceDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceDecide.kt
@@ -18,7 +18,7 @@
 public fun OnceState.decide(event: OnceEvent, now: Instant): OnceDecision = when (event) {
     is OnceEvent.Requested -> requested(event, now)
     is OnceEvent.Ended -> ended(event, now)
-    is OnceEvent.AppendSettled -> appendSettled(event)
+    is OnceEvent.AppendSettled -> appendSettled(event, now)
     is OnceEvent.Bounded -> OnceDecision(bounded(event, now))
     is OnceEvent.Read -> read(event.batches, now)
     is OnceEvent.Gap -> OnceDecision(copy(ledger = ledger.retainedFrom(event.earliest, now)))
@@ -98,12 +98,12 @@
 }
 
 private fun OnceState.ticked(now: Instant): OnceDecision {
-    val late = own.values.mapNotNull { claim ->
-        (claim.phase as? OwnPhase.Waiting)?.takeIf { it.deadline <= now }?.callId
+    val late = own.values.filter { claim ->
+        (claim.phase as? OwnPhase.Waiting)?.let { it.deadline <= now } ?: false
     }
     val unanswered = inquiries.filterValues { it.deadline <= now }.keys
-    val dropped = late.fold(OnceDecision(this)) { decision, callId ->
-        decision.update { it.drop(callId) }.then { it.settle(callId, claimUnavailable) }
+    val dropped = late.fold(OnceDecision(this)) { decision, mine ->
+        decision.then { it.giveUp(mine, now) }
     }
     return unanswered.fold(dropped) { decision, callId ->
         decision.update { it.copy(inquiries = it.inquiries.remove(callId)) }
@@ -111,6 +111,23 @@
     }.update { it.forgetOutdated(now) }
 }
 
+/**
+ * Ends the wait for a claim that was not read back in time.
+ *
+ * When another claim is known to hold the key, its request may have run, so the call is answered
+ * as its resend.
+ */
+internal fun OnceState.giveUp(mine: OwnClaim, now: Instant): OnceDecision {
+    val phase = mine.phase as? OwnPhase.Waiting ?: return OnceDecision(this)
+    val winner = ledger.held[mine.claim.key]
+    val dropped = drop(phase.callId)
+    return if (winner == null) {
+        dropped.settle(phase.callId, claimUnavailable)
+    } else {
+        dropped.resend(phase.callId, winner, mine.claim.fingerprint, now)
+    }
+}
+
 /** Forgets the claim of a call that waits; if its record wins nevertheless, it is released. */
 internal fun OnceState.drop(callId: CallId): OnceState {
     val key = keysByCall[callId] ?: return this
