--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -10,7 +10,6 @@
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
-import org.wisteriahinge.adapters.log.ConfigurationTailDuty
 import org.wisteriahinge.adapters.log.HttpPlatformLog
 import org.wisteriahinge.adapters.metrics.CallMetrics
 import org.wisteriahinge.core.call.CallEffect
@@ -25,10 +24,11 @@
 import org.wisteriahinge.runtime.CallsDuty
 import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.offerWaiting
 
 private const val CALLS_RING_CAPACITY = 8_192
-private const val LOG_RING_CAPACITY = 1_024
 private const val MAX_CALLS = 1_024
+private const val LOG_RING_CAPACITY = 1_024
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -42,16 +42,20 @@
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
     private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
-    private val tail = ConfigurationTailDuty(log) {
-        callsRing.offerReserved(CallMessage(CallEvent.Configured(it)))
-    }
-    private val appends = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
-    private val appender = LogDuty(appends, log)
+    private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
+    private val logDuty = LogDuty(logRing, log)
+    private val configuration = ConfigurationPart(
+        settings.configurationTiming,
+        log,
+        logRing,
+        registry,
+        clock
+    ) { callsRing.offerWaiting(CallMessage(CallEvent.Configured(it))) }
     private val once = OnceService(
         InstanceId(UuidCreator.getTimeOrderedEpoch().toString()),
         settings.once,
         log,
-        appends,
+        logRing,
         callsRing,
         UnconnectedPeers,
         clock
@@ -81,23 +85,25 @@
             is CallEffect.Claim -> once.request(effect.request)
             is CallEffect.EndClaim -> once.end(effect.ended)
             is CallEffect.ForCall -> Unit
+            // An instance without a peer network has nobody to tell.
+            is CallEffect.ReportQuarantine, is CallEffect.SummarizeQuarantine -> Unit
         }
     }
 
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
-        tail.start()
-        appender.start()
+        logDuty.start()
+        configuration.start()
         once.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
-        tail.stop(STOP_TIMEOUT)
         once.close()
-        appender.stop(STOP_TIMEOUT)
+        configuration.close()
+        logDuty.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app
 
 import java.time.Duration
+import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
 
@@ -16,5 +17,6 @@
     public val defaultTimeout: Duration = Duration.ofSeconds(10),
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
     public val once: OnceSettings = OnceSettings()
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/OnceService.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/OnceService.kt
@@ -27,9 +27,10 @@
 import org.wisteriahinge.runtime.OnceDuty
 import org.wisteriahinge.runtime.PeerLink
 import org.wisteriahinge.runtime.PlatformLog
+import org.wisteriahinge.runtime.RestartDetectingLog
 import org.wisteriahinge.runtime.Ring
 import org.wisteriahinge.runtime.TailEvent
-import org.wisteriahinge.runtime.offerWithBackpressure
+import org.wisteriahinge.runtime.offerWaiting
 import org.wisteriahinge.runtime.submit
 
 private const val RING_CAPACITY = 4_096
@@ -50,7 +51,7 @@
 ) : Closeable {
     private val ring = Ring<OnceEvent>("once", RING_CAPACITY, RESERVED)
     private val duty = OnceDuty(ring, OnceState(instance, settings), ::perform, clock)
-    private val tail = LogTailDuty(LogStream.Claims, log, start = null, ::read)
+    private val tail = LogTailDuty(LogStream.Claims, RestartDetectingLog(log), start = null, ::read)
 
     fun start() {
         duty.start()
@@ -122,13 +123,13 @@
 
     private fun read(event: TailEvent) {
         when (event) {
-            is TailEvent.Bounded -> ring.offerWithBackpressure(
+            is TailEvent.Bounded -> ring.offerWaiting(
                 OnceEvent.Bounded(event.bounds.earliest, event.bounds.next)
             )
-            is TailEvent.Gap -> ring.offerWithBackpressure(OnceEvent.Gap(event.earliest))
+            is TailEvent.Gap -> ring.offerWaiting(OnceEvent.Gap(event.earliest))
             is TailEvent.Read -> if (event.records.isNotEmpty()) {
                 val batches = event.records.map(ClaimCodec::decode).toPersistentList()
-                ring.offerWithBackpressure(OnceEvent.Read(batches))
+                ring.offerWaiting(OnceEvent.Read(batches))
             }
             is TailEvent.Failed -> Unit
         }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
@@ -38,6 +38,8 @@
 import org.wisteriahinge.core.routing.RoutingState
 
 private val START: Instant = Instant.parse("2026-01-01T00:00:00Z")
+/** An instance that finds an empty log makes no claims for a few seconds. */
+private val START_UP: Duration = Duration.ofSeconds(5)
 private val ZONE = Zone("zone-a")
 private const val TARGETS = 3
 private const val SLOTS = 3
@@ -61,6 +63,7 @@
             .fold(persistentHashMapOf()) { all, target -> all.put(target.id, FakeTarget()) }
     )
     return (1..instances).fold(empty) { world, _ -> world.startNode(Duration.ZERO) }
+        .advance(START_UP)
 }
 
 /** Starts an instance under a new id with a clock that is off by [clockOffset]. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,9 +1,12 @@
 package org.wisteriahinge.core.call
 
+import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.once.ClaimSettlement
@@ -51,6 +54,12 @@
     /** The front end captured the whole answer that it delivers, for later resends. */
     public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : CallEvent
 
+    /** The peer [from] reported requests that crashed servers. */
+    public data class QuarantineReported(
+        val from: InstanceId,
+        val notices: PersistentList<QuarantineNotice>
+    ) : CallEvent
+
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/ClaimStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/ClaimStage.kt
@@ -1,7 +1,6 @@
 package org.wisteriahinge.core.call
 
 import java.time.Instant
-import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.Refusal
@@ -12,19 +11,17 @@
 import org.wisteriahinge.core.once.OnceEvent
 import org.wisteriahinge.core.once.fingerprint
 
-/** Asks for a claim when the operation may not be repeated; otherwise [next] goes on at once. */
-internal fun CallsState.claimStage(
-    call: CallInProgress,
-    next: (CallsState, CallInProgress) -> CallsDecision
-): CallsDecision = when (call.matched.operation.repeatability) {
-    Repeatability.Repeatable -> next(this, call)
-    Repeatability.AtMostOnce -> requestClaim(call)
-}
+/** Suspends a call whose operation may not be repeated until its key's claim is settled. */
+internal fun CallsState.enterClaim(call: CallInProgress): StageOutcome =
+    when (call.matched.operation.repeatability) {
+        Repeatability.Repeatable -> StageOutcome.Passed(CallsDecision(this))
+        Repeatability.AtMostOnce -> requestClaim(call)
+    }
 
-private fun CallsState.requestClaim(call: CallInProgress): CallsDecision {
+private fun CallsState.requestClaim(call: CallInProgress): StageOutcome {
     val request = call.request
-    val key = request.idempotencyKey ?: return refuse(
-        request.callId,
+    val key = request.idempotencyKey ?: return StageOutcome.Refused(
+        CallsDecision(this),
         Refusal(RefusalReason.MissingIdempotencyKey, Execution.NotRun)
     )
     val requested = OnceEvent.Requested(
@@ -33,54 +30,39 @@
         fingerprint = fingerprint(call.caller.customer.id, call.matched.ref, contentOf(request)),
         deadline = request.deadline
     )
-    val waiting = call.copy(claim = CallClaim.Waiting)
-    return CallsDecision(copy(calls = calls.put(request.callId, waiting)))
-        .emit(CallEffect.Claim(requested))
+    val waiting = withCall(call.copy(claim = CallClaim.Waiting))
+    return StageOutcome.Suspended(CallsDecision(waiting).emit(CallEffect.Claim(requested)))
 }
 
 private fun contentOf(request: CallRequest): String =
     request.digest?.value ?: "${request.method} ${request.path} ${request.bodyBytes}"
 
-/** Goes on with a call whose claim was settled; [next] runs when the call holds the key. */
-internal fun CallsState.claimSettled(
-    event: CallEvent.ClaimSettled,
-    now: Instant,
-    next: (CallsState, CallInProgress) -> CallsDecision
-): CallsDecision {
+/** Goes on with a call whose claim was settled, or answers it. */
+internal fun CallsState.claimSettled(event: CallEvent.ClaimSettled, now: Instant): CallsDecision {
     val call = calls[event.callId]?.takeIf { it.claim is CallClaim.Waiting }
         ?: return unusedSettlement(event)
+    val withoutClaim = withCall(call.copy(claim = CallClaim.None))
     return when (val settlement = event.settlement) {
-        ClaimSettlement.Granted -> granted(call, now, next)
-        is ClaimSettlement.Answered -> withoutClaim(call).finish(event.callId, Execution.WasRun)
-            .deliverFirst(CallEffect.DeliverRetained(event.callId, settlement.answer))
+        ClaimSettlement.Granted -> granted(call, now)
+        is ClaimSettlement.Answered ->
+            CallsDecision(withoutClaim)
+                .emit(CallEffect.DeliverRetained(event.callId, settlement.answer))
+                .then { it.finish(event.callId, now) }
         is ClaimSettlement.Refused ->
-            withoutClaim(call).refuse(event.callId, settlement.refusal)
+            withoutClaim.refuse(event.callId, settlement.refusal, now)
     }
 }
 
-private fun CallsDecision.deliverFirst(effect: CallEffect): CallsDecision =
-    copy(effects = effects.add(0, effect))
-
-private fun CallsState.granted(
-    call: CallInProgress,
-    now: Instant,
-    next: (CallsState, CallInProgress) -> CallsDecision
-): CallsDecision {
-    val held = call.copy(claim = CallClaim.Held())
-    val holding = copy(calls = calls.put(call.request.callId, held))
+private fun CallsState.granted(call: CallInProgress, now: Instant): CallsDecision {
+    val callId = call.request.callId
+    val holding = withCall(call.copy(claim = CallClaim.Held()))
     return if (call.request.deadline <= now) {
-        holding.refuse(
-            call.request.callId,
-            Refusal(RefusalReason.DeadlinePassed, Execution.NotRun)
-        )
+        holding.refuse(callId, Refusal(RefusalReason.DeadlinePassed, Execution.NotRun), now)
     } else {
-        next(holding, held)
+        holding.resumeAfter(CallStage.Claim, callId, now)
     }
 }
 
-private fun CallsState.withoutClaim(call: CallInProgress): CallsState =
-    copy(calls = calls.put(call.request.callId, call.copy(claim = CallClaim.None)))
-
 /** The caller left while its claim was being made; a key that was granted is given back. */
 private fun CallsState.unusedSettlement(event: CallEvent.ClaimSettled): CallsDecision {
     val isHeld = calls[event.callId]?.claim is CallClaim.Held
@@ -93,23 +75,29 @@
 
 internal fun CallsState.answerCaptured(event: CallEvent.AnswerCaptured): CallsState {
     val call = calls[event.callId]?.takeIf { it.claim is CallClaim.Held } ?: return this
-    return copy(
-        calls = calls.put(event.callId, call.copy(claim = CallClaim.Held(event.answer)))
-    )
+    return withCall(call.copy(claim = CallClaim.Held(event.answer)))
 }
 
-/** What the `once` duty is told when the call [callId] ends with [execution]. */
-internal fun CallsState.endOfClaim(callId: CallId, execution: Execution): List<CallEffect> =
-    when (val claim = calls[callId]?.claim) {
-        null, CallClaim.None -> emptyList()
-        CallClaim.Waiting -> listOf(endClaim(callId, ClaimResult.NotRun))
-        is CallClaim.Held -> listOf(endClaim(callId, resultOf(claim, execution)))
+/** Tells the `once` duty how a call that asked for a claim ended. */
+internal fun CallsState.leaveClaim(call: CallInProgress, end: CallEnd): CallsDecision =
+    when (val claim = call.claim) {
+        CallClaim.None -> CallsDecision(this)
+        CallClaim.Waiting ->
+            CallsDecision(this).emit(endClaim(call.request.callId, ClaimResult.NotRun))
+        is CallClaim.Held ->
+            CallsDecision(this).emit(endClaim(call.request.callId, resultOf(claim, call, end)))
+    }
+
+private fun resultOf(claim: CallClaim.Held, call: CallInProgress, end: CallEnd): ClaimResult =
+    when (end) {
+        CallEnd.Answered -> ClaimResult.Answered(claim.answer)
+        is CallEnd.Refused -> resultOf(call, end.refusal.execution)
+        is CallEnd.CallerGone -> resultOf(call, end.execution)
     }
 
-private fun resultOf(claim: CallClaim.Held, execution: Execution): ClaimResult = when (execution) {
-    Execution.NotRun -> ClaimResult.NotRun
-    Execution.WasRun -> ClaimResult.Answered(claim.answer)
-    Execution.MayHaveRun -> ClaimResult.Unknown
+private fun resultOf(call: CallInProgress, execution: Execution): ClaimResult = when (execution) {
+    Execution.NotRun -> if (call.mayHaveRun) ClaimResult.Unknown else ClaimResult.NotRun
+    Execution.WasRun, Execution.MayHaveRun -> ClaimResult.Unknown
 }
 
 private fun endClaim(callId: CallId, result: ClaimResult): CallEffect =
--- a/core/src/main/kotlin/org/wisteriahinge/core/once/ClaimLedger.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/ClaimLedger.kt
@@ -11,8 +11,9 @@
 /**
  * Who holds which key, as the records of the stream `claims` below [nextOffset] decide it.
  *
- * Records below [lostBefore] expired before they were read. They may have claimed keys up to the
- * time [horizon], so a key that is not later than it does not count as unclaimed.
+ * Records below [lostBefore] were not read, because they expired or the stream was emptied. They
+ * may have claimed keys up to the time [horizon], so a key that is not later than it does not count
+ * as unclaimed.
  */
 public data class ClaimLedger(
     val settings: OnceSettings,
@@ -22,22 +23,27 @@
     val held: PersistentMap<KeyDigest, ClaimEntry.Claim> = persistentHashMapOf(),
     val byMinute: PersistentMap<Long, PersistentSet<KeyDigest>> = persistentHashMapOf()
 ) {
-    /** The stream is retained from [earliest] on; what came before it is lost to this reader. */
-    internal fun retainedFrom(earliest: Long, now: Instant): ClaimLedger =
-        if (earliest <= nextOffset) {
-            this
-        } else {
-            copy(
-                nextOffset = earliest,
-                lostBefore = earliest,
-                horizon = now.plus(settings.keyLead)
-            )
-        }
+    /**
+     * The stream is retained from [earliest] on; what came before it is lost to this reader.
+     *
+     * An offset below [nextOffset] means that the stream began anew. Marks of its former records
+     * then say nothing about the new ones.
+     */
+    internal fun retainedFrom(earliest: Long, now: Instant): ClaimLedger = copy(
+        nextOffset = earliest,
+        lostBefore = if (earliest < nextOffset) Long.MAX_VALUE else earliest,
+        horizon = now.plus(settings.keyLead)
+    )
 
-    /** Notes the record at [offset] without its entries. */
+    /**
+     * Notes the record at [offset] without its entries.
+     *
+     * Its mark bounds the time of the lost records. A mark beyond the record's own offset was
+     * written before the stream began anew and bounds nothing.
+     */
     internal fun reached(offset: Long, batch: ClaimBatch?): ClaimLedger {
         val next = copy(nextOffset = offset + 1)
-        if (batch == null || lostBefore == 0L || batch.readOffset < lostBefore) return next
+        if (batch == null || batch.readOffset !in lostBefore..offset) return next
         return next.copy(horizon = minOf(horizon, batch.readAt.plus(settings.keyLead)))
     }
 
