--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
@@ -38,6 +38,7 @@
 import org.wisteriahinge.core.routing.RoutingState
 
 private val START: Instant = Instant.parse("2026-01-01T00:00:00Z")
+
 /** An instance that finds an empty log makes no claims for a few seconds. */
 private val START_UP: Duration = Duration.ofSeconds(5)
 private val ZONE = Zone("zone-a")
