--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -5,7 +5,11 @@
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
 
-/** Settings of one instance. [credentialKey] is secret and never printed. */
+/**
+ * Settings of one instance. [credentialKey] is secret and never printed.
+ *
+ * [peers] is null for a deployment that consists of this instance alone.
+ */
 public class InstanceSettings(
     public val zone: Zone,
     public val callerHost: String,
@@ -18,5 +22,6 @@
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
     public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    public val peers: PeerSettings? = null,
     public val once: OnceSettings = OnceSettings()
 )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -20,6 +20,7 @@
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.once.ClaimSettlement
 import org.wisteriahinge.core.routing.RoutingState
 
 private const val NOISE_SEED = 0x5EEDL
@@ -157,8 +158,12 @@
             }
             is CallEffect.Refuse -> ended(requestOf(effect.callId), Ending.Refused)
             is CallEffect.CancelAttempt -> cancel(AttemptKey(instance, effect.attemptId))
-            // Every operation of the simulation may be repeated, so no call makes a claim.
-            is CallEffect.Claim, is CallEffect.EndClaim, is CallEffect.DeliverRetained -> Unit
+            // The simulation measures routing; claims are granted at once.
+            is CallEffect.Claim -> toInstance(
+                instance,
+                CallEvent.ClaimSettled(effect.request.callId, ClaimSettlement.Granted)
+            )
+            is CallEffect.EndClaim, is CallEffect.DeliverRetained -> Unit
             is CallEffect.ReportQuarantine -> tellPeers(instance, effect.notices)
             is CallEffect.SummarizeQuarantine -> tellPeers(instance, effect.notices)
             is CallEffect.Finished, is CallEffect.Count -> Unit
