--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.app
 
+import com.github.f4b6a3.uuid.UuidCreator
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.Closeable
 import java.time.Clock
@@ -63,7 +64,17 @@
         network?.let { ConfigurationPeers(it.id, it.link) },
         ::configured
     )
+    private val once = OnceService(
+        network?.id ?: InstanceId(UuidCreator.getTimeOrderedEpoch().toString()),
+        settings.once,
+        log,
+        logRing,
+        callsRing,
+        network?.link ?: UnconnectedPeers,
+        clock
+    )
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
+    private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -72,11 +83,12 @@
             settings.maxTimeout
         ),
         CallerServerParts(
-            gateway = CallGateway(callsRing, MAX_CALLS),
+            gateway = gateway,
             backend = backend,
             hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
             clock = clock,
-            counters = metrics::count
+            counters = metrics::count,
+            answerListener = AnswerRetention(gateway, settings.once.maxAnswerBytes)
         )
     )
 
@@ -88,6 +100,8 @@
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Claim -> once.request(effect.request)
+            is CallEffect.EndClaim -> once.end(effect.ended)
             is CallEffect.ReportQuarantine ->
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
@@ -109,6 +123,7 @@
 
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
+        once.liveInstances(members.live.size)
     }
 
     override fun received(message: PeerMessage) {
@@ -121,7 +136,7 @@
             is PeerMessage.ConfigurationReply -> configuration.received(message)
             is PeerMessage.Quarantine -> quarantineReported(message.from, message.notices)
             is PeerMessage.OutcomeRequest,
-            is PeerMessage.OutcomeReply -> Unit
+            is PeerMessage.OutcomeReply -> once.received(message)
         }
     }
 
@@ -130,12 +145,14 @@
         calls.start()
         logDuty.start()
         configuration.start()
+        once.start()
         network?.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        once.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
