--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -6,8 +6,10 @@
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.adapters.backend.BackendClient
+import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallerServer
+import org.wisteriahinge.adapters.caller.CallerServerParts
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.log.HttpPlatformLog
@@ -61,7 +63,7 @@
         network?.let { ConfigurationPeers(it.id, it.link) },
         ::configured
     )
-    private val backend = BackendClient(settings.maxConnectionsPerTarget)
+    private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -69,10 +71,13 @@
             settings.defaultTimeout,
             settings.maxTimeout
         ),
-        CallGateway(callsRing, MAX_CALLS),
-        backend,
-        CredentialHasher(settings.credentialKey.encodeToByteArray()),
-        clock
+        CallerServerParts(
+            gateway = CallGateway(callsRing, MAX_CALLS),
+            backend = backend,
+            hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
+            clock = clock,
+            counters = metrics::count
+        )
     )
 
     private fun initialState() = CallsState(
