Probe within a hard budget and share what is known of targets

Cause: a target that only its load endpoint or one instance knows to drain still got work; the running instance neither probed nor saw ticks. Change: the probers of a target are at most three live instances on a hash ring, each once a second at most; ticks send due probes; heartbeats carry draining and failing targets with the age of the news. The adapter reads GET /load, a timer duty sends Ticked, and the new policy is the default. Scenarios leaving and probe-cost with 18, 100 and 400 instances.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -26,6 +26,13 @@
         "service",
         "failure"
     )
+    private val probes = counter(
+        registry,
+        "wisteriahinge_probes_total",
+        "Load probes, by what became of them",
+        "service",
+        "event"
+    )
     private val truncated = counter(
         registry,
         "wisteriahinge_truncated_total",
@@ -90,6 +97,8 @@
             is CallCounter.HedgeWon -> hedgesWon.labelValues(counter.service.value).inc()
             is CallCounter.CrashSuspected ->
                 crashesSuspected.labelValues(counter.service.value).inc()
+            is CallCounter.ProbeSent -> probes.labelValues(counter.service.value, "sent").inc()
+            is CallCounter.ProbeFailed -> probes.labelValues(counter.service.value, "failed").inc()
             is CallCounter.Truncated -> truncated.labelValues(counter.service.value).inc()
         }
     }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerConversion.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerConversion.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.membership.RetainedBody
 import org.wisteriahinge.core.membership.TargetLoad
+import org.wisteriahinge.core.membership.TargetNotice
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.InstanceId
@@ -29,7 +30,7 @@
         sequence = sequence,
         phase = phase.wireName,
         revision = revision.value,
-        loads = loads.map { TargetLoadWire(it.target.value, it.inFlight, it.slots, it.ageMillis) },
+        loads = loads.map { it.toWire() },
         quarantined = quarantined.map { it.toWire() }
     )
     is PeerMessage.Quarantine -> QuarantineMessageWire(from.value, notices.map { it.toWire() })
@@ -73,11 +74,23 @@
         "unknown phase '$phase' in a heartbeat"
     },
     revision = RevisionNumber(revision),
-    loads = loads.map { TargetLoad(TargetId(it.target), it.inFlight, it.slots, it.ageMillis) }
-        .toPersistentList(),
+    loads = loads.map { it.toLoad() }.toPersistentList(),
     quarantined = quarantined.map { it.toNotice() }.toPersistentList()
 )
 
+private fun TargetLoad.toWire() =
+    TargetLoadWire(target.value, inFlight, slots, ageMillis, notice.wireCode)
+
+private fun TargetLoadWire.toLoad() = TargetLoad(
+    TargetId(target),
+    inFlight,
+    slots,
+    ageMillis,
+    requireNotNull(TargetNotice.all.find { it.wireCode == notice }) {
+        "unknown notice $notice of a target in a heartbeat"
+    }
+)
+
 private fun QuarantineNotice.toWire() = QuarantineWire(
     customer = customer.value,
     service = operation.service.value,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerWire.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/peer/PeerWire.kt
@@ -30,7 +30,8 @@
     @CborLabel(1) val target: String,
     @CborLabel(2) val inFlight: Int,
     @CborLabel(3) val slots: Int,
-    @CborLabel(4) val ageMillis: Long
+    @CborLabel(4) val ageMillis: Long,
+    @CborLabel(5) val notice: Int = 0
 )
 
 @Serializable
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -5,8 +5,10 @@
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.backend.LoadProber
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerParts
@@ -31,11 +33,15 @@
 import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.TimerDuty
 import org.wisteriahinge.runtime.offerWaiting
 
 private const val CALLS_RING_CAPACITY = 8_192
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
+
+/** Period of hedges, queue deadlines and probes; short against the answer times of targets. */
+private val TICK_PERIOD: Duration = Duration.ofMillis(20)
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -63,6 +69,8 @@
         network?.let { ConfigurationPeers(it.id, it.link) },
         ::configured
     )
+    private val prober = LoadProber(clock, ::offerToCalls)
+    private val timer = TimerDuty(callsRing, TICK_PERIOD)
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
     private val server = CallerServer(
         CallerServerSettings(
@@ -82,7 +90,7 @@
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed)
+        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed)
     )
 
     private fun perform(effect: CallEffect) {
@@ -92,10 +100,16 @@
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
+            is CallEffect.Probe -> prober.probe(effect.target)
+            is CallEffect.TellLoads -> network?.report(MembershipEvent.LoadsChanged(effect.loads))
             is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
         }
     }
 
+    private fun offerToCalls(event: CallEvent) {
+        if (callsRing.offer(CallMessage(event)) == Offer.Full) network?.noteRingFull()
+    }
+
     private fun quarantineReported(from: InstanceId, notices: PersistentList<QuarantineNotice>) {
         if (notices.isEmpty()) return
         val offer = callsRing.offer(CallMessage(CallEvent.QuarantineReported(from, notices)))
@@ -107,8 +121,12 @@
         network?.report(MembershipEvent.RevisionChanged(next.revision))
     }
 
+    private fun membersEvent(self: InstanceId, members: Members) =
+        CallEvent.MembersChanged(self, members.live)
+
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
+        network?.let { callsRing.offerWaiting(CallMessage(membersEvent(it.id, members))) }
     }
 
     override fun received(message: PeerMessage) {
@@ -116,6 +134,9 @@
             is PeerMessage.Heartbeat -> {
                 configuration.received(message)
                 quarantineReported(message.from, message.quarantined)
+                if (message.loads.isNotEmpty()) {
+                    offerToCalls(CallEvent.PeerLoads(message.from, message.loads))
+                }
             }
             is PeerMessage.ConfigurationRequest,
             is PeerMessage.ConfigurationReply -> configuration.received(message)
@@ -125,17 +146,26 @@
         }
     }
 
+    private fun aloneEvent(): CallEvent {
+        val self = InstanceId("alone")
+        return CallEvent.MembersChanged(self, persistentSetOf(self))
+    }
+
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
         logDuty.start()
         configuration.start()
+        if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
         network?.start()
+        timer.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        timer.stop(STOP_TIMEOUT)
+        prober.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.HdrHistogram.Histogram
+import org.wisteriahinge.core.routing.PROBE_SLOT_MILLIS
 
 /** How a request ended. */
 internal sealed interface Ending {
@@ -72,12 +73,21 @@
     among.count { it.ending is Ending.Refused }.toDouble() / among.size
 }
 
-/** Probes over the requests that all targets could serve; a probe is counted as a request. */
-internal fun RunResult.probeLoadRatio(): Double =
-    probes.values.sum() / (scenario.capacityPerSecond * scenario.durationMillis / 1_000)
+internal fun RunResult.probed(cell: ProbeCell): RunResult =
+    if (cell.second * 1_000 >= scenario.durationMillis) {
+        this
+    } else {
+        copy(probes = probes.put(cell, (probes[cell] ?: 0) + 1))
+    }
+
+/** Slot time of the probes over the slot time of all targets. */
+internal fun RunResult.probeLoadRatio(): Double {
+    val slotMillis = scenario.targets * scenario.slots * scenario.durationMillis
+    return probes.values.sum() * PROBE_SLOT_MILLIS / slotMillis.toDouble()
+}
 
-/** The highest ratio of probes to capacity of any target in any whole second. */
+/** The highest ratio of probes to slot time of any target in any whole second. */
 internal fun RunResult.probeLoadRatioMaxSecond(): Double =
-    (probes.values.maxOrNull() ?: 0) * scenario.targets / scenario.capacityPerSecond
+    (probes.values.maxOrNull() ?: 0) * PROBE_SLOT_MILLIS / (scenario.slots * 1_000.0)
 
 internal fun RunResult.retryRatio(): Double = retries.toDouble() / maxOf(1, outcomes.size)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenarios.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenarios.kt
@@ -32,6 +32,45 @@
         .toPersistentList()
 )
 
+/** Targets drain, each announced by one source only, and stop five seconds later. */
+internal val LEAVING = Scenario(
+    name = "leaving",
+    durationMillis = 16_000,
+    changes = listOf(
+        2 to Announcement.Refusing,
+        7 to Announcement.Reported,
+        9 to Announcement.Unlisted,
+        12 to Announcement.Reported
+    ).flatMapIndexed { index, (target, announcement) ->
+        val from = 3_000L + 500 * index
+        listOf(
+            TimedChange(from, target, TargetChange.Drain(announcement)),
+            TimedChange(from + 5_000, target, TargetChange.Crash(downMillis = 60_000))
+        )
+    }.toPersistentList(),
+    extraFields = {
+        mapOf(
+            "started_after_3s" to it.startedAfterBound.toDouble(),
+            "cut_off" to it.cutOff.toDouble()
+        )
+    }
+)
+
+private fun probeCost(name: String, instances: Int) = Scenario(
+    name = name,
+    instances = instances,
+    durationMillis = 6_000,
+    extraFields = { mapOf("probe_load_ratio_max_1s" to it.probeLoadRatioMaxSecond()) }
+)
+
 /** Every scenario by the order of the design page. */
-internal val SCENARIOS: PersistentList<Scenario> =
-    persistentListOf(STEADY, SLOW_TARGET, SHIFTING_LOAD, FAIL_FAST)
+internal val SCENARIOS: PersistentList<Scenario> = persistentListOf(
+    STEADY,
+    SLOW_TARGET,
+    SHIFTING_LOAD,
+    FAIL_FAST,
+    probeCost("probe-cost", instances = 18),
+    probeCost("probe-cost-100", instances = 100),
+    probeCost("probe-cost-400", instances = 400),
+    LEAVING
+)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimEvent.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimEvent.kt
@@ -23,6 +23,12 @@
 
     data class Change(val target: Int, val change: TargetChange) : SimEvent
 
+    /** A probe of [instance] reaches its target. */
+    data class ReachProbe(val target: Int, val instance: Int) : SimEvent
+
+    /** The instance tells some of its peers what it knows of targets. */
+    data class Heartbeat(val instance: Int) : SimEvent
+
     data class DrawSpeed(val target: Int) : SimEvent
 }
 
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
@@ -0,0 +1,25 @@
+package org.wisteriahinge.bench.policy
+
+import java.time.Instant
+import kotlin.random.Random
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.call.decide
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.routing.RoutingPolicy
+import org.wisteriahinge.core.routing.RoutingState
+
+/** The instance number [index] after its start with the lists and members of the scenario. */
+internal fun Scenario.initialState(index: Int, policy: RoutingPolicy, seed: Long): CallsState {
+    val routing = RoutingState(policy, zoneOf(index, zones), seed * instances + index)
+    val members = CallEvent.MembersChanged(instanceId(index), instanceIds())
+    return CallsState(Configuration.Empty, routing)
+        .decide(CallEvent.Configured(configuration(1)), Instant.EPOCH).state
+        .decide(members, Instant.EPOCH).state
+}
+
+/** Whether [attempt] fails by the scenario's ratio of failing attempts. */
+internal fun Scenario.drawFailure(attempt: SimAttempt, seed: Long): Boolean {
+    val draw = Random(seed xor attempt.request.id * 31 + attempt.key.attempt.value)
+    return draw.nextDouble() < failingAttemptRatio
+}
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimTarget.kt
@@ -1,8 +1,10 @@
 package org.wisteriahinge.bench.policy
 
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.model.LoadReport
 
 /** An attempt at a target; [workMicros] is what remains at normal speed as of [asOfMicros]. */
 internal data class SimAttempt(
@@ -34,6 +36,24 @@
 ) {
     val inFlight: Int get() = running.size + queue.size
 
+    /** The load that the target states at [now]; it is as old as the last measurement. */
+    fun reportAt(now: Instant): LoadReport =
+        LoadReport(if (misreporting) 0 else report.inFlight, slots, now)
+
+    /** The target after its process ended. */
+    fun emptied(): SimTarget = copy(
+        running = persistentListOf(),
+        queue = persistentListOf(),
+        version = version + 1,
+        crashed = true
+    )
+
+    /** Whether the load endpoint says that the target drains. */
+    fun saysDraining(): Boolean = when (draining) {
+        Announcement.Reported -> true
+        Announcement.Refusing, Announcement.Unlisted, null -> false
+    }
+
     /** Whether a request would be shed now. */
     val full: Boolean get() = queue.size >= queueLimit
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -15,12 +15,9 @@
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
 import org.wisteriahinge.core.membership.QuarantineNotice
+import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
-import org.wisteriahinge.core.model.Configuration
-import org.wisteriahinge.core.model.InstanceId
-import org.wisteriahinge.core.model.LoadReport
-import org.wisteriahinge.core.routing.RoutingState
 
 private const val NOISE_SEED = 0x5EEDL
 
@@ -35,11 +32,11 @@
 ) {
     private val noiseRandom = Random(seed xor NOISE_SEED)
     private val requests = scenario.requests(seed)
-    private var nowMicros = 0L
-    private var sequence = 0L
-    private var events: EventHeap<SimEvent> = EventHeap.Empty
+    private var timeline = Timeline()
     private var result = RunResult(scenario)
     private var placed: PersistentMap<AttemptKey, Int> = persistentHashMapOf()
+    private var told: PersistentList<PersistentList<TargetLoad>> =
+        List(scenario.instances) { persistentListOf<TargetLoad>() }.toPersistentList()
     private var unlisted: PersistentSet<Int> = persistentSetOf()
     private var onTheWay: PersistentList<Int> = List(scenario.targets) { 0 }.toPersistentList()
     private var targets = List(scenario.targets) {
@@ -47,17 +44,12 @@
         SimTarget(it, scenario.slots, scenario.queueLimit, reportMicros)
     }.toPersistentList()
     private var instances: PersistentList<CallsState> = when (policy) {
-        is BenchPolicy.Decided -> List(scenario.instances) { initialState(it, policy) }
+        is BenchPolicy.Decided -> List(scenario.instances) {
+            scenario.initialState(it, policy.policy, seed)
+        }
         BenchPolicy.Ideal -> emptyList()
     }.toPersistentList()
 
-    private fun initialState(index: Int, decided: BenchPolicy.Decided): CallsState {
-        val zone = zoneOf(index, scenario.zones)
-        val routing = RoutingState(decided.policy, zone, seed * scenario.instances + index)
-        val state = CallsState(Configuration.Empty, routing)
-        return state.decide(CallEvent.Configured(scenario.configuration(1)), instant()).state
-    }
-
     /** Simulates every request up to its end. */
     fun run(): RunResult {
         requests.forEach { schedule(it.atMicros, SimEvent.Arrive(it)) }
@@ -67,32 +59,36 @@
         instances.indices.forEach {
             schedule(tickMicros() * it / instances.size, SimEvent.Tick(it))
         }
+        instances.indices.forEach {
+            schedule(heartbeatOffset(it), SimEvent.Heartbeat(it))
+        }
         if (scenario.noise != null) targets.forEach { schedule(0, SimEvent.DrawSpeed(it.index)) }
         generateSequence(::step).count()
         return result
     }
 
-    private fun instant(): Instant = Instant.EPOCH.plusNanos(nowMicros * 1_000)
+    private fun instant(): Instant = timeline.instant
+
+    private val nowMicros: Long get() = timeline.nowMicros
+
+    private fun schedule(atMicros: Long, event: SimEvent) {
+        timeline = timeline.scheduled(atMicros, event)
+    }
+
+    private fun heartbeatOffset(instance: Int) =
+        scenario.heartbeatMillis * MICROS_PER_MILLI * instance / instances.size
 
     private fun tickMicros() = scenario.tickMillis * MICROS_PER_MILLI
 
     private fun endMicros() =
         (scenario.durationMillis + 2 * scenario.deadlineMillis) * MICROS_PER_MILLI
 
-    private fun schedule(atMicros: Long, event: SimEvent) {
-        sequence += 1
-        events = events.add(atMicros, sequence, event)
-    }
-
     /** Handles the next event; null when none is left or every deadline has passed. */
-    private fun step(): SimEvent? = when (val next = events) {
-        EventHeap.Empty -> null
-        is EventHeap.Node -> {
-            events = next.rest()
-            nowMicros = next.atMicros
-            handle(next.value)
-            next.value.takeIf { nowMicros < endMicros() }
-        }
+    private fun step(): SimEvent? {
+        val next = timeline.next() ?: return null
+        timeline = next.timeline
+        handle(next.event)
+        return next.event.takeIf { nowMicros < endMicros() }
     }
 
     private fun handle(event: SimEvent) = when (event) {
@@ -108,6 +104,8 @@
             schedule(nowMicros + tickMicros(), event)
         }
         is SimEvent.Change -> change(targets[event.target], event.change)
+        is SimEvent.ReachProbe -> reachProbe(targets[event.target], event.instance)
+        is SimEvent.Heartbeat -> heartbeat(event)
         is SimEvent.DrawSpeed -> drawSpeed(event)
     }
 
@@ -159,12 +157,18 @@
             is CallEffect.CancelAttempt -> cancel(AttemptKey(instance, effect.attemptId))
             is CallEffect.ReportQuarantine -> tellPeers(instance, effect.notices)
             is CallEffect.SummarizeQuarantine -> tellPeers(instance, effect.notices)
+            is CallEffect.Probe -> {
+                val target = targetIndex(effect.target.id)
+                val at = nowMicros + delay(instance, target)
+                schedule(at, SimEvent.ReachProbe(target, instance))
+            }
+            is CallEffect.TellLoads -> told = told.set(instance, effect.loads)
             is CallEffect.Finished, is CallEffect.Count -> Unit
         }
     }
 
     private fun tellPeers(instance: Int, notices: PersistentList<QuarantineNotice>) {
-        val report = CallEvent.QuarantineReported(InstanceId("instance-$instance"), notices)
+        val report = CallEvent.QuarantineReported(instanceId(instance), notices)
         instances.indices.filter { it != instance }.forEach {
             schedule(nowMicros + delay(instance, it), SimEvent.ToInstance(it, report))
         }
@@ -233,7 +237,15 @@
 
     private fun fail(target: SimTarget, attempt: SimAttempt, cause: AttemptFailure) {
         val event = failure(CallId(attempt.request.id), attempt.key, cause)
-        reply(target, attempt, event.copy(load = reportOf(target).takeIf { !target.crashed }))
+        reply(
+            target,
+            attempt,
+            event.copy(
+                load = target.reportAt(instant()).takeIf {
+                    !target.crashed
+                }
+            )
+        )
     }
 
     private fun reply(target: SimTarget, attempt: SimAttempt, event: CallEvent) {
@@ -242,11 +254,6 @@
         schedule(at, SimEvent.ToInstance(attempt.key.instance, event))
     }
 
-    private fun reportOf(target: SimTarget): LoadReport {
-        val inFlight = if (target.misreporting) 0 else target.report.inFlight
-        return LoadReport(inFlight, target.slots, instant())
-    }
-
     private fun update(changed: SimTarget) {
         targets = targets.set(changed.index, changed)
         val next = changed.nextToEnd() ?: return
@@ -258,17 +265,38 @@
         val target = targets[event.target]
         if (target.version != event.version) return
         val done = target.nextToEnd() ?: return
-        val failing = target.failFast || drawFailure(done)
+        val failing = target.failFast || scenario.drawFailure(done, seed)
         val status = if (failing) 500 else 200
         val callId = CallId(done.request.id)
         val after = target.remove(done.key, nowMicros)
-        reply(after, done, CallEvent.Answered(callId, done.key.attempt, status, reportOf(after)))
+        reply(
+            after,
+            done,
+            CallEvent.Answered(callId, done.key.attempt, status, after.reportAt(instant()))
+        )
         update(after)
     }
 
-    private fun drawFailure(attempt: SimAttempt): Boolean {
-        val draw = Random(seed xor attempt.request.id * 31 + attempt.key.attempt.value)
-        return draw.nextDouble() < scenario.failingAttemptRatio
+    private fun reachProbe(target: SimTarget, instance: Int) {
+        result = result.probed(ProbeCell(target.index, nowMicros / MICROS_PER_SECOND))
+        val report = target.reportAt(instant()).copy(draining = target.saysDraining())
+        val event = if (target.crashed) {
+            CallEvent.ProbeFailed(targetId(target.index))
+        } else {
+            CallEvent.LoadReported(targetId(target.index), report)
+        }
+        val at = nowMicros + delay(instance, target.index)
+        schedule(at, SimEvent.ToInstance(instance, event))
+    }
+
+    private fun heartbeat(event: SimEvent.Heartbeat) {
+        schedule(nowMicros + scenario.heartbeatMillis * MICROS_PER_MILLI, event)
+        val loads = told[event.instance]
+        if (loads.isEmpty()) return
+        val message = CallEvent.PeerLoads(instanceId(event.instance), loads)
+        scenario.heartbeatPeers(event.instance, nowMicros).forEach {
+            schedule(nowMicros + delay(event.instance, it), SimEvent.ToInstance(it, message))
+        }
     }
 
     private fun change(target: SimTarget, change: TargetChange) = when (change) {
@@ -291,12 +319,7 @@
     private fun crash(target: SimTarget, change: TargetChange.Crash) {
         val lost = target.running.addAll(target.queue)
         result = result.copy(cutOff = result.cutOff + lost.size)
-        val empty = target.copy(
-            running = persistentListOf(),
-            queue = persistentListOf(),
-            version = target.version + 1,
-            crashed = true
-        )
+        val empty = target.emptied()
         update(empty)
         lost.forEach { fail(empty, it, AttemptFailure.Disconnected) }
         val back = nowMicros + change.downMillis * MICROS_PER_MILLI
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Workload.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Workload.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.toPersistentList
 
 internal const val MICROS_PER_MILLI = 1_000L
+internal const val MICROS_PER_SECOND = 1_000_000L
 
 /** A request: when and where it arrives and how long it occupies a slot at normal speed. */
 internal data class SimRequest(
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInTarget.kt
@@ -8,6 +8,7 @@
 import io.ktor.server.request.receive
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
 import java.io.Closeable
@@ -29,9 +30,11 @@
 public class StandInTarget(public val name: String, private val slots: Int) : Closeable {
     private val inFlight = AtomicInteger()
     private val served = AtomicInteger()
+    private val probed = AtomicInteger()
     private val behaviour = AtomicReference(TargetBehaviour())
     private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
         routing {
+            get("/load") { reportLoad(call) }
             route("{...}") { handle { serve(call) } }
         }
     }
@@ -39,6 +42,9 @@
     /** Requests that this target ran. */
     public val servedCount: Int get() = served.get()
 
+    /** Load probes that this target answered. */
+    public val probedCount: Int get() = probed.get()
+
     /** Starts listening and returns the port. */
     public fun start(): Int {
         server.start(wait = false)
@@ -50,6 +56,12 @@
         behaviour.set(next)
     }
 
+    private suspend fun reportLoad(call: ApplicationCall) {
+        probed.incrementAndGet()
+        val state = if (behaviour.get().draining) "draining" else "serving"
+        call.respondText("""{"in_flight":${inFlight.get()},"slots":$slots,"state":"$state"}""")
+    }
+
     private suspend fun serve(call: ApplicationCall) {
         val current = behaviour.get()
         val running = inFlight.incrementAndGet()
--- a/core/src/main/kotlin/org/wisteriahinge/core/availability/TargetHealth.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/availability/TargetHealth.kt
@@ -38,7 +38,8 @@
  * What is known of a target's ability to serve.
  *
  * [pace] is the smoothed ratio of its answer times to the usual ones; 1.0 is usual. [until] is
- * the time of the next trial or the end of a drain. [strikes] counts trials that did not help.
+ * the time of the next trial or the end of a drain, [drainSeenAt] the target's latest word of
+ * it. [strikes] counts trials that did not help.
  */
 public data class TargetHealth(
     val state: State = State.Cold,
@@ -47,7 +48,8 @@
     val sheds: Int = 0,
     val pace: Double = 1.0,
     val strikes: Int = 0,
-    val until: Instant = Instant.EPOCH
+    val until: Instant = Instant.EPOCH,
+    val drainSeenAt: Instant = Instant.EPOCH
 ) {
     /** Whether a time that the state waits for has come. */
     public fun isDue(now: Instant): Boolean = now >= until
@@ -103,7 +105,8 @@
         Action.StartRamp -> copy(goodAnswers = 0, failures = 0, sheds = 0, pace = 1.0)
         Action.ScheduleTrial ->
             copy(strikes = strikes + 1, until = moment.now.plus(trialDelay(moment.spread)))
-        Action.HoldDrain -> copy(until = moment.now.plus(DRAIN_HOLD))
+        Action.HoldDrain ->
+            copy(until = moment.now.plus(DRAIN_HOLD), drainSeenAt = moment.now)
         Action.ClearRecord -> copy(failures = 0, sheds = 0, strikes = 0, pace = 1.0)
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -35,6 +35,12 @@
     /** A request is suspected of a crash that this instance saw. */
     public data class CrashSuspected(val service: ServiceId) : CallCounter
 
+    /** A target was asked for its load. */
+    public data class ProbeSent(val service: ServiceId) : CallCounter
+
+    /** A probe brought no load report. */
+    public data class ProbeFailed(val service: ServiceId) : CallCounter
+
     /** An answer ended early after its delivery began. */
     public data class Truncated(val service: ServiceId) : CallCounter
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -3,6 +3,7 @@
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.core.membership.QuarantineNotice
+import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Refusal
@@ -51,6 +52,12 @@
     public data class SummarizeQuarantine(val notices: PersistentList<QuarantineNotice>) :
         CallEffect
 
+    /** Ask [target] for its load, outside any call. */
+    public data class Probe(val target: Target) : CallEffect
+
+    /** What the next heartbeats tell of targets; replaces what they told before. */
+    public data class TellLoads(val loads: PersistentList<TargetLoad>) : CallEffect
+
     /** Add one to a metric. */
     public data class Count(val counter: CallCounter) : CallEffect
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,7 +1,9 @@
 package org.wisteriahinge.core.call
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
 import org.wisteriahinge.core.membership.QuarantineNotice
+import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
@@ -52,6 +54,17 @@
         val notices: PersistentList<QuarantineNotice>
     ) : CallEvent
 
+    /** A probe of [target] brought no load report. */
+    public data class ProbeFailed(val target: TargetId) : CallEvent
+
+    /** The peer [from] told what it knows of targets. */
+    public data class PeerLoads(val from: InstanceId, val loads: PersistentList<TargetLoad>) :
+        CallEvent
+
+    /** The instances that take part, [self] included, changed. */
+    public data class MembersChanged(val self: InstanceId, val live: PersistentSet<InstanceId>) :
+        CallEvent
+
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -11,6 +11,8 @@
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.quarantine.quarantineReported
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
+import org.wisteriahinge.core.routing.membersChanged
+import org.wisteriahinge.core.routing.peerReported
 
 /** Decides on [event] at [now]. Pure: reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
@@ -29,6 +31,11 @@
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
+    is CallEvent.ProbeFailed -> probeFailed(event.target)
+    is CallEvent.PeerLoads ->
+        CallsDecision(copy(routing = routing.peerReported(event.from, event.loads, now)))
+    is CallEvent.MembersChanged ->
+        CallsDecision(copy(routing = routing.membersChanged(event.self, event.live)))
     CallEvent.Ticked -> ticked(now)
 }
 
@@ -57,6 +64,8 @@
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
     .then { it.startHedges(now) }
+    .then { it.probe(now) }
+    .then { it.tellPeers(now) }
 
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/membership/PeerMessage.kt
@@ -79,9 +79,25 @@
     val target: TargetId,
     val inFlight: Int,
     val slots: Int,
-    val ageMillis: Long
+    val ageMillis: Long,
+    val notice: TargetNotice = TargetNotice.None
 )
 
+/** What a load report says of a target besides its load. */
+public sealed class TargetNotice(public val wireCode: Int) {
+    public data object None : TargetNotice(0)
+
+    /** The target said that it drains. */
+    public data object Draining : TargetNotice(1)
+
+    /** The sender ejected the target for failures that it saw itself. */
+    public data object Failing : TargetNotice(2)
+
+    public companion object {
+        public val all: List<TargetNotice> get() = listOf(None, Draining, Failing)
+    }
+}
+
 /** A request that stopped [crashes] servers; refused until [until]. */
 public data class QuarantineNotice(
     val customer: CustomerId,
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
@@ -45,7 +45,9 @@
     val attempts: PersistentMap<AttemptId, AttemptAtTarget> = persistentHashMapOf(),
     val preferred: PersistentMap<ServiceId, PersistentList<TargetId>> = persistentHashMapOf(),
     val paces: PersistentMap<ServiceId, ServicePace> = persistentHashMapOf(),
-    val connectionsPerTarget: Int = CONNECTIONS_PER_TARGET
+    val connectionsPerTarget: Int = CONNECTIONS_PER_TARGET,
+    val probing: ProbePlan = ProbePlan(),
+    val knowledge: PeerKnowledge = PeerKnowledge()
 ) {
     /**
      * Takes over the targets of [entitlements]; views of targets that stay are kept. A target
@@ -70,7 +72,7 @@
             preferred = members.entries.fold(persistentHashMapOf()) { map, (service, views) ->
                 map.put(service, preferredOf(views))
             }
-        )
+        ).withProbesAssigned()
     }
 
     private fun viewOf(service: ServiceId, target: Target): TargetView {
@@ -167,10 +169,13 @@
     }
 
     /** Takes over a target's own report unless a newer one is known. */
-    public fun loadReported(target: TargetId, load: LoadReport): RoutingState =
+    public fun loadReported(target: TargetId, load: LoadReport): RoutingState = if (load.draining) {
+        drainSeen(target, load.observedAt)
+    } else {
         updateTarget(target) { it.reported(load) }
+    }
 
-    private fun updateTarget(id: TargetId, change: (TargetView) -> TargetView): RoutingState {
+    internal fun updateTarget(id: TargetId, change: (TargetView) -> TargetView): RoutingState {
         val view = targets[id] ?: return this
         return copy(targets = targets.put(id, change(view)))
     }
