--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -4,11 +4,7 @@
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 
-/**
- * Settings of one instance. [credentialKey] is secret and never printed.
- *
- * [peers] is null for a deployment that consists of this instance alone.
- */
+/** Settings of one instance. [credentialKey] is secret and never printed. */
 public class InstanceSettings(
     public val zone: Zone,
     public val callerHost: String,
@@ -16,10 +12,16 @@
     public val logUrl: String,
     public val credentialKey: String,
     public val seed: Long,
-    public val logTimeout: Duration = Duration.ofSeconds(5),
+    public val log: LogSettings = LogSettings(),
     public val defaultTimeout: Duration = Duration.ofSeconds(10),
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
-    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    /** Null for an instance without peers. */
     public val peers: PeerSettings? = null
 )
+
+/** How an instance uses the log. [timeout] is for one operation. */
+public class LogSettings(
+    public val timeout: Duration = Duration.ofSeconds(5),
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
+)
