--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -35,6 +35,7 @@
     is CallEffect.Claim -> schedule(RING_DELAY, Delivery.Once(from, effect.request))
     is CallEffect.EndClaim -> schedule(RING_DELAY, Delivery.Once(from, effect.ended))
     is CallEffect.ReportQuarantine, is CallEffect.SummarizeQuarantine -> this
+    is CallEffect.Probe, is CallEffect.TellLoads -> this
     is CallEffect.Finished, is CallEffect.Count -> this
 }
 
