Add the scenarios crest, long-short, poison and deep-calls

Cause: retries, the quarantine and admission had no measurement under load. Change: four scenarios; goodput counts the possible answers for each demand step; callers send a request that crashes servers again at any instance.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,8 +4,10 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
@@ -17,6 +19,7 @@
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "demo" -> Demo().use { it.run() }
+        name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
@@ -28,7 +31,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = SCENARIOS.joinToString { it.name }
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/PolicyBench.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/PolicyBench.kt
@@ -11,12 +11,13 @@
     put("seed", seed)
     putJsonObject("policies") {
         POLICIES.forEach { policy ->
-            put(policy.name, figures(Simulation(scenario, policy, seed).run()))
+            put(policy.name, figures(scenario, policy, seed))
         }
     }
 }
 
-private fun figures(result: RunResult): JsonObject = buildJsonObject {
+private fun figures(scenario: Scenario, policy: BenchPolicy, seed: Long) = buildJsonObject {
+    val result = Simulation(scenario, policy, seed).run()
     val latencies = result.latencies(result.measured())
     put("p50_ms", latencies.millisAt(50.0))
     put("p99_ms", latencies.millisAt(99.0))
@@ -25,5 +26,9 @@
     put("refused_ratio", result.refusedRatio())
     put("probe_load_ratio", result.probeLoadRatio())
     put("retry_ratio", result.retryRatio())
-    result.scenario.extraFields(result).forEach { (name, value) -> put(name, value) }
+    scenario.extraFields(result).forEach { (name, value) -> put(name, value) }
+    scenario.reference?.let { reference ->
+        val compared = Simulation(reference.scenario, policy, seed).run()
+        reference.fields(compared).forEach { (name, value) -> put(name, value) }
+    }
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -49,7 +49,7 @@
  * its deadline counts with that time, so that losing slow requests does not improve the figures.
  */
 internal fun RunResult.latencies(among: List<Outcome>): Histogram {
-    val histogram = Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS)
+    val histogram = emptyHistogram()
     val deadlineMicros = scenario.deadlineMillis * MICROS_PER_MILLI
     among.filter { it.ending is Ending.Answered || it.latencyMicros >= deadlineMicros }.forEach {
         histogram.recordValue(it.latencyMicros.coerceAtMost(MAX_LATENCY_MICROS))
@@ -57,14 +57,21 @@
     return histogram
 }
 
+internal fun emptyHistogram(): Histogram = Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS)
+
 internal fun Histogram.millisAt(percentile: Double): Double =
     getValueAtPercentile(percentile) / MICROS_PER_MILLI.toDouble()
 
-/** Requests answered well over those that full capacity could have answered. */
+/** Requests answered well over those that full capacity could have answered at each demand. */
 internal fun RunResult.goodputRatio(): Double {
     val among = measured()
-    val seconds = (scenario.durationMillis - scenario.warmupMillis) / 1_000.0
-    val possible = minOf(among.size.toDouble(), scenario.capacityPerSecond * seconds)
+    val ends = scenario.demand.drop(1).map { it.atMillis } + scenario.durationMillis
+    val possible = scenario.demand.zip(ends).sumOf { (step, end) ->
+        val start = maxOf(step.atMillis, scenario.warmupMillis)
+        val micros = start * MICROS_PER_MILLI..<end * MICROS_PER_MILLI
+        val offered = among.count { it.request.atMicros in micros }
+        minOf(offered.toDouble(), scenario.capacityPerSecond * (end - start) / 1_000)
+    }
     return among.count { it.good(scenario.deadlineMillis) } / possible
 }
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
@@ -8,16 +8,25 @@
 /** Demand from [atMillis] on, as a ratio of the capacity of all targets at normal speed. */
 internal data class DemandStep(val atMillis: Long, val ratio: Double)
 
-/** A kind of request; [weight] is its share, [meanMillis] its mean time on a slot. */
+/**
+ * A kind of request; [weight] is its share, [meanMillis] its mean time on a slot.
+ *
+ * A request that [crashes] ends its server's process when its time on the slot is over; its caller
+ * sends it again.
+ */
 internal data class RequestKind(
     val name: String,
     val weight: Double,
     val meanMillis: Double,
     val workClass: WorkClass = WorkClass.Short,
     val repeatability: Repeatability = Repeatability.Repeatable,
-    val customer: Int = 0
+    val customer: Int = 0,
+    val crashes: Boolean = false
 )
 
+/** A run of [scenario] with the same policy and seed, whose [fields] are printed for comparison. */
+internal class Reference(val scenario: Scenario, val fields: (RunResult) -> Map<String, Double>)
+
 /** What changes at a target. */
 internal sealed interface TargetChange {
     /** Work proceeds at [factor] times the normal speed. */
@@ -86,6 +95,8 @@
     val failingAttemptRatio: Double = 0.0,
     val tickMillis: Long = 20,
     val heartbeatMillis: Long = 1_000,
+    val crashDownMillis: Long = 300,
+    val reference: Reference? = null,
     val extraFields: (RunResult) -> Map<String, Double> = { emptyMap() }
 ) {
     /** Mean time of a request on a slot. */
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenarios.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenarios.kt
@@ -34,4 +34,4 @@
 
 /** Every scenario by the order of the design page. */
 internal val SCENARIOS: PersistentList<Scenario> =
-    persistentListOf(STEADY, SLOW_TARGET, SHIFTING_LOAD, FAIL_FAST)
+    persistentListOf(STEADY, SLOW_TARGET, SHIFTING_LOAD, FAIL_FAST, CREST, LONG_SHORT, POISON)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimConfiguration.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimConfiguration.kt
@@ -98,7 +98,7 @@
         Repeatability.Repeatable -> null
         Repeatability.AtMostOnce -> IdempotencyKey("key-${request.id}")
     },
-    digest = RequestDigest("digest-${request.id}"),
+    digest = RequestDigest("digest-${request.origin}"),
     deadline = now.plusMillis(deadlineMillis),
     depth = 0,
     retriesAllowed = true,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -34,7 +34,8 @@
     private val seed: Long
 ) {
     private val noiseRandom = Random(seed xor NOISE_SEED)
-    private val requests = scenario.requests(seed)
+    private var requests = scenario.requests(seed)
+    private val resends = Resends(seed, scenario.instances)
     private var nowMicros = 0L
     private var sequence = 0L
     private var events: EventHeap<SimEvent> = EventHeap.Empty
@@ -205,6 +206,9 @@
     private fun ended(request: SimRequest, ending: Ending) {
         val outcome = Outcome(request, nowMicros, ending)
         result = result.copy(outcomes = result.outcomes.add(outcome))
+        val resend = resends.after(request, requests, nowMicros) ?: return
+        requests = requests.add(resend)
+        schedule(resend.atMicros, SimEvent.Arrive(resend))
     }
 
     private fun delay(instance: Int, target: Int): Long =
@@ -258,6 +262,7 @@
         val target = targets[event.target]
         if (target.version != event.version) return
         val done = target.nextToEnd() ?: return
+        if (done.request.kind.crashes) return crashBy(target, done.request)
         val failing = target.failFast || drawFailure(done)
         val status = if (failing) 500 else 200
         val callId = CallId(done.request.id)
@@ -266,6 +271,12 @@
         update(after)
     }
 
+    private fun crashBy(target: SimTarget, request: SimRequest) {
+        val crashes = (result.crashes[request.origin] ?: 0) + 1
+        result = result.copy(crashes = result.crashes.put(request.origin, crashes))
+        crash(target, TargetChange.Crash(scenario.crashDownMillis))
+    }
+
     private fun drawFailure(attempt: SimAttempt): Boolean {
         val draw = Random(seed xor attempt.request.id * 31 + attempt.key.attempt.value)
         return draw.nextDouble() < scenario.failingAttemptRatio
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Workload.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Workload.kt
@@ -7,13 +7,17 @@
 
 internal const val MICROS_PER_MILLI = 1_000L
 
-/** A request: when and where it arrives and how long it occupies a slot at normal speed. */
+/**
+ * A request: when and where it arrives and how long it occupies a slot at normal speed. [origin] is
+ * the id of the request that its caller sends again with this one.
+ */
 internal data class SimRequest(
     val id: Long,
     val atMicros: Long,
     val instance: Int,
     val kind: RequestKind,
-    val workMicros: Double
+    val workMicros: Double,
+    val origin: Long = id
 )
 
 /** Part of a request's time that does not vary; the rest is exponential. */
