Divide slots for long work, try crashed targets sooner, tick the calls duty

Cause: load reports are older than the decisions on long work, so instances filled the slot kept for short work together. A target whose server crashed stayed out for at least 1 s, which with 6 crashes a second took 8 of 20 targets out. Nothing sent Ticked, so queued calls could outlast their deadline and hedges never started.

Change: the live instances deal the slots for long work among themselves by position, without messages; with fewer slots than instances they go by load as before. The first trial of an ejected target comes after 250 ms, with the same last wait. A timer duty sends Ticked every 5 ms. The instance hedges.

--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -23,6 +23,9 @@
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.retry.Hedging
+import org.wisteriahinge.core.retry.RetrySettings
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
@@ -31,11 +34,19 @@
 import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.TimerDuty
 import org.wisteriahinge.runtime.offerWaiting
 
 private const val CALLS_RING_CAPACITY = 8_192
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
+
+/** Waiting calls and hedges are looked at this often; short work takes a few milliseconds. */
+private val TICK: Duration = Duration.ofMillis(5)
+
+/** Share of short answers that arrive before a hedge starts. */
+private const val HEDGE_QUANTILE = 0.95
+
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -50,6 +61,7 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
+    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
     private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
@@ -82,7 +94,8 @@
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed)
+        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed),
+        retries = RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     )
 
     private fun perform(effect: CallEffect) {
@@ -109,6 +122,9 @@
 
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
+        val self = network?.id ?: return
+        val event = CallEvent.MembersChanged(self, members.live)
+        if (callsRing.offerReserved(CallMessage(event)) == Offer.Full) network.noteRingFull()
     }
 
     override fun received(message: PeerMessage) {
@@ -128,6 +144,7 @@
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
+        timer.start()
         logDuty.start()
         configuration.start()
         network?.start()
@@ -139,6 +156,7 @@
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
+        timer.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -9,6 +9,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
@@ -56,7 +57,9 @@
         val zone = zoneOf(index, scenario.zones)
         val routing = RoutingState(decided.policy, zone, seed * scenario.instances + index)
         val state = CallsState(Configuration.Empty, routing)
+        val ids = List(scenario.instances) { InstanceId("instance-$it") }
         return state.decide(CallEvent.Configured(scenario.configuration(1)), instant()).state
+            .decide(CallEvent.MembersChanged(ids[index], ids.toPersistentSet()), instant()).state
     }
 
     /** Simulates every request up to its end. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionState.kt
@@ -73,7 +73,8 @@
     val places: PersistentMap<CallId, Place> = persistentHashMapOf(),
     val queued: PersistentSet<ServiceId> = persistentSetOf(),
     val longAttempts: PersistentMap<AttemptId, TargetId> = persistentHashMapOf(),
-    val longCalls: PersistentSet<CallId> = persistentSetOf()
+    val longCalls: PersistentSet<CallId> = persistentSetOf(),
+    val longPermits: LongPermits = LongPermits.Alone
 ) {
     internal fun put(id: ServiceId, changed: ServiceAdmission): AdmissionState = copy(
         services = services.put(id, changed),
--- a/core/src/main/kotlin/org/wisteriahinge/core/admission/LongWork.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/LongWork.kt
@@ -8,12 +8,9 @@
 import org.wisteriahinge.core.call.CallInProgress
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.model.Service
+import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.WorkClass
-import org.wisteriahinge.core.routing.TargetView
-
-/** Slots of a target that long work leaves to short work. */
-private const val SLOTS_LEFT_TO_SHORT = 1
 
 /** A report older than this says nothing about the slots that are free now. */
 private val REPORT_MAX_AGE: Duration = Duration.ofSeconds(1)
@@ -42,17 +39,31 @@
 private fun CallsState.targetsClosedToLong(
     service: Service,
     now: Instant
-): PersistentSet<TargetId> = routing.byService[service.id].orEmpty()
-    .filter { id -> routing.targets[id]?.let { !hasRoomForLong(it, now) } ?: true }
+): PersistentSet<TargetId> = service.targets.withIndex()
+    .filterNot { (index, target) -> isOpenToLong(service, index, target, now) }
+    .map { it.value.id }
     .toPersistentSet()
 
-private fun CallsState.hasRoomForLong(view: TargetView, now: Instant): Boolean {
-    val id = view.target.id
-    val own = admission.longAttempts.values.count { it == id }
+private fun CallsState.isOpenToLong(
+    service: Service,
+    index: Int,
+    target: Target,
+    now: Instant
+): Boolean {
+    val own = admission.longAttempts.values.count { it == target.id }
+    return when (val permits = admission.longPermits) {
+        LongPermits.Alone -> own < target.longSlots && seemsToHaveRoom(target, now)
+        is LongPermits.Shared -> if (permits.suffices(service)) {
+            own < permits.permitsAt(service, index)
+        } else {
+            own < target.longSlots && seemsToHaveRoom(target, now)
+        }
+    }
+}
+
+private fun CallsState.seemsToHaveRoom(target: Target, now: Instant): Boolean {
+    val view = routing.targets[target.id] ?: return false
     val report = view.load?.takeIf { it.observedAt + REPORT_MAX_AGE > now }
     val busy = maxOf(view.inFlight, report?.inFlight ?: 0)
-    val slots = view.target.slots
-    // A target with a single slot must serve both kinds with it.
-    val most = maxOf(1, slots - SLOTS_LEFT_TO_SHORT)
-    return own < most && busy + 1 <= most
+    return busy + 1 <= target.longSlots
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/availability/TargetHealth.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/availability/TargetHealth.kt
@@ -27,9 +27,13 @@
 /** Weight of the newest answer in the pace. */
 private const val PACE_WEIGHT = 0.25
 
-private val FIRST_TRIAL: Duration = Duration.ofSeconds(1)
+/**
+ * A server that crashed may be back within a third of a second; with several crashes a second,
+ * longer first waits keep more than a third of the targets out of service.
+ */
+private val FIRST_TRIAL: Duration = Duration.ofMillis(250)
 private val LAST_TRIAL: Duration = Duration.ofSeconds(16)
-private const val MAX_DOUBLINGS = 4
+private const val MAX_DOUBLINGS = 6
 
 /** A drain that no source has repeated for this long has ended. */
 private val DRAIN_HOLD: Duration = Duration.ofSeconds(10)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.call
 
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentSet
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
@@ -46,6 +47,10 @@
     /** A revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : CallEvent
 
+    /** The [live] instances changed; [self] is this one. */
+    public data class MembersChanged(val self: InstanceId, val live: PersistentSet<InstanceId>) :
+        CallEvent
+
     /** The peer [from] reported requests that crashed servers. */
     public data class QuarantineReported(
         val from: InstanceId,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.mapBoth
 import java.time.Instant
+import org.wisteriahinge.core.admission.LongPermits
 import org.wisteriahinge.core.admission.dispatchQueued
 import org.wisteriahinge.core.admission.refuseExpired
 import org.wisteriahinge.core.model.CallId
@@ -28,10 +29,16 @@
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
+    is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
     CallEvent.Ticked -> ticked(now)
 }
 
+private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
+    val permits = LongPermits.among(event.live, event.self)
+    return CallsDecision(copy(admission = admission.copy(longPermits = permits)))
+}
+
 private fun CallsState.configured(next: Configuration): CallsDecision =
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
--- a/core/src/test/kotlin/org/wisteriahinge/core/admission/AdmissionTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/admission/AdmissionTest.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.admission
 
 import java.time.Duration
+import kotlinx.collections.immutable.toPersistentSet
 import org.junit.jupiter.api.Test
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.AttemptFailure
@@ -10,6 +11,7 @@
 import org.wisteriahinge.core.call.CallPlayer
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.TargetId
@@ -120,6 +122,22 @@
         expectThat(first.target.id).isEqualTo(TargetId("t4"))
     }
 
+    /** Guards against two instances that fill a target with long work before its report tells. */
+    @Test
+    fun `instances together leave a slot of each target to short work`() {
+        val ids = listOf("a", "b", "c").map(::InstanceId)
+        val started = ids.flatMap { self ->
+            val instance = CallPlayer(CallFixture.state())
+            instance.play(CallEvent.MembersChanged(self, ids.toPersistentSet()))
+            (1L..20L).flatMap { id ->
+                val upload = CallFixture.request(id, "upload", timeout = Duration.ofMinutes(1))
+                instance.arrive(upload).forwarded
+            }
+        }
+        val byTarget = started.groupingBy { it.target.id }.eachCount()
+        expectThat(byTarget.values.toList()).hasSize(4).all { isEqualTo(2) }
+    }
+
     /** Guards against uploads that hold every call place of an instance. */
     @Test
     fun `long calls are bounded by their places and their queue`() {
