--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -5,8 +5,10 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import org.wisteriahinge.bench.fuzz.fuzzCommand
+import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
@@ -21,6 +23,7 @@
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
+        name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
@@ -32,7 +35,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = SCENARIOS.joinToString { it.name }
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
