Check the lists completely and name the line of each fault

Cause: semantic faults had no line, names, addresses, hashes, numbers and overlapping paths were not checked, the order of the lists was lost, and each call searched all operations of all services. Change: each list is decoded together with its nodes; the format is checked first; all faults of both lists are reported together. The model keeps the order. Operations are found by an index over the path's segments.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListConversion.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListConversion.kt
@@ -1,7 +1,7 @@
 package org.wisteriahinge.adapters.lists
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.model.Address
@@ -89,5 +89,6 @@
 private fun String.toOperationRef() =
     OperationRef(ServiceId(substringBefore('/')), OperationId(substringAfter('/')))
 
+/** Keeps the order of the list. */
 private fun <K, V> List<V>.indexedBy(key: (V) -> K): PersistentMap<K, V> =
-    fold(persistentHashMapOf()) { map, value -> map.put(key(value), value) }
+    fold(persistentMapOf()) { map, value -> map.put(key(value), value) }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
@@ -3,14 +3,18 @@
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlMap
+import com.charleskorn.kaml.YamlNode
+import com.charleskorn.kaml.YamlScalar
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.flatMap
-import com.github.michaelbull.result.map
-import com.github.michaelbull.result.zip
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.DeserializationStrategy
 import org.wisteriahinge.core.configuration.ListTexts
 import org.wisteriahinge.core.model.Configuration
@@ -30,29 +34,59 @@
     val entitlements: String = ENTITLEMENTS_FILE
 )
 
-/** Reads both lists as revision [revision], or returns their faults. */
+/** Reads both lists as revision [revision], or returns the faults of both. */
 public fun readLists(
     texts: ListTexts,
     revision: RevisionNumber,
     names: ListNames = ListNames()
-): Result<Configuration, PersistentList<ListFault>> = zip(
-    { decode(names.customers, texts.customers, CustomersDocument.serializer()) },
-    { decode(names.entitlements, texts.entitlements, EntitlementsDocument.serializer()) }
-) { customers, entitlements -> customers to entitlements }
-    .flatMap { (customers, entitlements) ->
-        val faults = validate(customers, entitlements)
-        if (faults.isEmpty()) Ok(customers to entitlements) else Err(faults)
-    }
-    .map { (customers, entitlements) ->
-        Configuration(revision, customers.toModel(), entitlements.toModel())
+): Result<Configuration, PersistentList<ListFault>> {
+    val customers = decode(names.customers, texts.customers, CustomersDocument.serializer())
+    val entitlements =
+        decode(names.entitlements, texts.entitlements, EntitlementsDocument.serializer())
+    val first = customers.get()
+    val second = entitlements.get()
+    val faults = listOfNotNull(customers.getError(), entitlements.getError()).flatten() +
+        first?.let { customerFaults(it, second?.content) }.orEmpty() +
+        second?.let(::entitlementFaults).orEmpty()
+    return if (first == null || second == null || faults.isNotEmpty()) {
+        Err(faults.toPersistentList())
+    } else {
+        Ok(Configuration(revision, first.content.toModel(), second.content.toModel()))
     }
+}
+
+/** A decoded list together with its nodes, which know their lines. */
+internal class LocatedList<T>(
+    private val file: String,
+    private val root: YamlNode,
+    val content: T
+) {
+    /** A fault at the node that [path] leads to: names are keys, numbers are positions. */
+    fun fault(problem: String, vararg path: Any): ListFault =
+        ListFault(file, lineOf(root, path.toList()), problem)
+}
 
 private fun <T> decode(
     file: String,
     text: String,
     deserializer: DeserializationStrategy<T>
-): Result<T, PersistentList<ListFault>> = try {
-    Ok(yaml.decodeFromString(deserializer, text))
+): Result<LocatedList<T>, PersistentList<ListFault>> = try {
+    val root = yaml.parseToYamlNode(text)
+    checkFormat(file, root).flatMap {
+        Ok(LocatedList(file, root, yaml.decodeFromYamlNode(deserializer, root)))
+    }
 } catch (e: YamlException) {
     Err(persistentListOf(ListFault(file, e.line, e.message)))
 }
+
+/** Checked first: a later format may have other fields, and their faults would mislead. */
+private fun checkFormat(file: String, root: YamlNode): Result<Unit, PersistentList<ListFault>> {
+    val format = (root as? YamlMap)?.get<YamlScalar>("format") ?: return Ok(Unit)
+    return if (format.content == LIST_FORMAT.toString()) {
+        Ok(Unit)
+    } else {
+        val problem = "format '${format.content}' is not read by this version; use $LIST_FORMAT " +
+            "or a newer version of wisteriahinge"
+        Err(persistentListOf(ListFault(file, format.location.line, problem)))
+    }
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListValidation.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListValidation.kt
@@ -1,24 +1,74 @@
 package org.wisteriahinge.adapters.lists
 
-import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.persistentHashMapOf
 
-/** Checks what the types of the documents cannot express. */
-internal fun validate(
-    customers: CustomersDocument,
-    entitlements: EntitlementsDocument
-): PersistentList<ListFault> {
-    val plans = entitlements.plans.map { it.name }
-    val operations = entitlements.services.flatMap { service ->
-        service.operations.map { "${service.name}/${it.name}" }
+private val NAME = Regex("[a-z0-9][a-z0-9._-]{0,99}")
+private val KEYED_HASH = Regex("[0-9a-f]{64}")
+private const val NAME_REMEDY =
+    "use 1 to 100 lower-case letters, digits, dots, dashes and underscores"
+
+/** Something named in a list, with the path to its name. */
+internal class Named(val name: String, val path: List<Any>)
+
+/** Checks of the customers' list that its types cannot express. */
+internal fun customerFaults(
+    list: LocatedList<CustomersDocument>,
+    entitlements: EntitlementsDocument?
+): List<ListFault> {
+    val customers = list.content.customers
+    val plans = entitlements?.plans?.map { it.name }?.toSet()
+    val names = customers.mapIndexed { index, it ->
+        Named(it.name, listOf("customers", index, "name"))
     }
-    val unknownPlans = customers.customers.filter { it.plan !in plans }.map {
-        ListFault(CUSTOMERS_FILE, 0, "customer '${it.name}' has unknown plan '${it.plan}'")
+    val credentials = customers.flatMapIndexed { index, customer ->
+        customer.credentials.mapIndexed { position, it ->
+            Named(it.id, listOf("customers", index, "credentials", position, "id"))
+        }
     }
-    val unknownOperations = entitlements.plans.flatMap { plan ->
-        plan.operations.filter { it !in operations }.map {
-            ListFault(ENTITLEMENTS_FILE, 0, "plan '${plan.name}' has unknown operation '$it'")
+    return list.nameFaults("customer", names) +
+        list.nameFaults("credential", credentials) +
+        customers.flatMapIndexed { index, customer ->
+            list.unknownPlan(index, customer, plans) + list.badHashes(index, customer)
         }
+}
+
+private fun LocatedList<*>.unknownPlan(index: Int, customer: CustomerEntry, plans: Set<String>?) =
+    if (plans == null || customer.plan in plans) {
+        emptyList()
+    } else {
+        listOf(
+            fault(
+                "customer '${customer.name}' has unknown plan '${customer.plan}'; use one of " +
+                    plans.joinToString(),
+                "customers",
+                index,
+                "plan"
+            )
+        )
+    }
+
+private fun LocatedList<*>.badHashes(index: Int, customer: CustomerEntry) =
+    customer.credentials.mapIndexedNotNull { position, credential ->
+        fault(
+            "credential '${credential.id}' has a keyed_hash that is not 64 lower-case " +
+                "hexadecimal digits; make it with 'wisteriahinge hash-secret'",
+            "customers",
+            index,
+            "credentials",
+            position,
+            "keyed_hash"
+        ).takeIf { !KEYED_HASH.matches(credential.keyedHash) }
+    }
+
+/** Names of a wrong form, and each name that was used before. */
+internal fun LocatedList<*>.nameFaults(kind: String, names: List<Named>): List<ListFault> {
+    val malformed = names.filter { !NAME.matches(it.name) }.map {
+        fault("$kind name '${it.name}' has a wrong form; $NAME_REMEDY", *it.path.toTypedArray())
+    }
+    val first = names.foldIndexed(persistentHashMapOf<String, Int>()) { index, all, it ->
+        if (it.name in all) all else all.put(it.name, index)
+    }
+    return malformed + names.filterIndexed { index, it -> first[it.name] != index }.map {
+        fault("$kind '${it.name}' is listed twice; rename or remove one", *it.path.toTypedArray())
     }
-    return (unknownPlans + unknownOperations).toPersistentList()
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Entitlements.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Entitlements.kt
@@ -72,13 +72,18 @@
     val services: PersistentMap<ServiceId, Service>,
     val plans: PersistentMap<PlanId, Plan>
 ) {
+    private val index: PathIndex = services.values.fold(PathIndex()) { all, service ->
+        service.operations.fold(all) { index, operation ->
+            index.add(
+                listOf(operation.method) + operation.path.segments,
+                MatchedOperation(service, operation)
+            )
+        }
+    }
+
     /** The operation that serves [method] and [path]; null when none matches. */
     public fun match(method: String, path: String): MatchedOperation? =
-        services.values.firstNotNullOfOrNull { service ->
-            service.operations
-                .firstOrNull { it.method == method && it.path.matches(path) }
-                ?.let { MatchedOperation(service, it) }
-        }
+        index.find(listOf(method) + path.substringBefore('?').split('/'))
 }
 
 /** An operation found for a request, with its service. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/PathTemplate.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/PathTemplate.kt
@@ -11,7 +11,10 @@
  * ```
  */
 public data class PathTemplate(val text: String) {
-    private val segments: PersistentList<String> = text.split('/').toPersistentList()
+    internal val segments: PersistentList<String> = text.split('/').toPersistentList()
+
+    /** Number of segments; templates of different counts match no path in common. */
+    public val segmentCount: Int get() = segments.size
 
     /** Whether [path], without its query, matches. */
     public fun matches(path: String): Boolean {
@@ -20,5 +23,13 @@
             segments.indices.all { segments[it].isWildcard() || segments[it] == given[it] }
     }
 
-    private fun String.isWildcard() = startsWith('{') && endsWith('}')
+    /** Whether some path matches both templates. */
+    public fun overlaps(other: PathTemplate): Boolean = segments.size == other.segments.size &&
+        segments.indices.all { index ->
+            val own = segments[index]
+            val theirs = other.segments[index]
+            own == theirs || own.isWildcard() || theirs.isWildcard()
+        }
 }
+
+internal fun String.isWildcard(): Boolean = startsWith('{') && endsWith('}')
