--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/EntitlementValidation.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/EntitlementValidation.kt
@@ -12,13 +12,15 @@
 internal fun entitlementFaults(list: LocatedList<EntitlementsDocument>): List<ListFault> {
     val services = list.content.services
     val plans = list.content.plans
-    val serviceNames = services.mapIndexed { index, it ->
-        Named(it.name, listOf("services", index, "name"))
+    val serviceNames = services.mapIndexed { index, entry ->
+        Named(entry.name, listOf("services", index, "name"))
+    }
+    val planNames = plans.mapIndexed { index, entry ->
+        Named(entry.name, listOf("plans", index, "name"))
     }
-    val planNames = plans.mapIndexed { index, it -> Named(it.name, listOf("plans", index, "name")) }
     val targetNames = services.flatMapIndexed { index, service ->
-        service.targets.mapIndexed { position, it ->
-            Named(it.name, listOf("services", index, "targets", position, "name"))
+        service.targets.mapIndexed { position, entry ->
+            Named(entry.name, listOf("services", index, "targets", position, "name"))
         }
     }
     return list.nameFaults("service", serviceNames) +
@@ -30,8 +32,8 @@
 }
 
 private fun LocatedList<*>.serviceFaults(index: Int, service: ServiceEntry): List<ListFault> {
-    val operationNames = service.operations.mapIndexed { position, it ->
-        Named(it.name, listOf("services", index, "operations", position, "name"))
+    val operationNames = service.operations.mapIndexed { position, entry ->
+        Named(entry.name, listOf("services", index, "operations", position, "name"))
     }
     return nameFaults("operation", operationNames) +
         service.targets.flatMapIndexed { position, target ->
@@ -91,7 +93,9 @@
 /** Of two operations that match the same request, the later one could never be reached. */
 private fun LocatedList<*>.overlaps(services: List<ServiceEntry>): List<ListFault> {
     val placed = services.flatMapIndexed { service, entry ->
-        entry.operations.mapIndexed { position, it -> PlacedOperation(service, position, it) }
+        entry.operations.mapIndexed { position, operation ->
+            PlacedOperation(service, position, operation)
+        }
     }
     // Only operations of one method and length can match the same request.
     val comparable = placed.groupBy { it.entry.method to it.path.segmentCount }.values
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListReader.kt
@@ -62,8 +62,11 @@
     val content: T
 ) {
     /** A fault at the node that [path] leads to: names are keys, numbers are positions. */
-    fun fault(problem: String, vararg path: Any): ListFault =
-        ListFault(file, lineOf(root, path.toList()), problem)
+    fun fault(problem: String, vararg path: Any): ListFault = faultAt(path.toList(), problem)
+
+    /** A fault at the node that [path] leads to. */
+    fun faultAt(path: List<Any>, problem: String): ListFault =
+        ListFault(file, lineOf(root, path), problem)
 }
 
 private fun <T> decode(
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListValidation.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListValidation.kt
@@ -17,12 +17,12 @@
 ): List<ListFault> {
     val customers = list.content.customers
     val plans = entitlements?.plans?.map { it.name }?.toSet()
-    val names = customers.mapIndexed { index, it ->
-        Named(it.name, listOf("customers", index, "name"))
+    val names = customers.mapIndexed { index, entry ->
+        Named(entry.name, listOf("customers", index, "name"))
     }
     val credentials = customers.flatMapIndexed { index, customer ->
-        customer.credentials.mapIndexed { position, it ->
-            Named(it.id, listOf("customers", index, "credentials", position, "id"))
+        customer.credentials.mapIndexed { position, entry ->
+            Named(entry.id, listOf("customers", index, "credentials", position, "id"))
         }
     }
     return list.nameFaults("customer", names) +
@@ -63,12 +63,12 @@
 /** Names of a wrong form, and each name that was used before. */
 internal fun LocatedList<*>.nameFaults(kind: String, names: List<Named>): List<ListFault> {
     val malformed = names.filter { !NAME.matches(it.name) }.map {
-        fault("$kind name '${it.name}' has a wrong form; $NAME_REMEDY", *it.path.toTypedArray())
+        faultAt(it.path, "$kind name '${it.name}' has a wrong form; $NAME_REMEDY")
     }
-    val first = names.foldIndexed(persistentHashMapOf<String, Int>()) { index, all, it ->
-        if (it.name in all) all else all.put(it.name, index)
+    val first = names.foldIndexed(persistentHashMapOf<String, Int>()) { index, all, named ->
+        if (named.name in all) all else all.put(named.name, index)
     }
-    return malformed + names.filterIndexed { index, it -> first[it.name] != index }.map {
-        fault("$kind '${it.name}' is listed twice; rename or remove one", *it.path.toTypedArray())
+    return malformed + names.filterIndexed { index, named -> first[named.name] != index }.map {
+        faultAt(it.path, "$kind '${it.name}' is listed twice; rename or remove one")
     }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -116,5 +116,5 @@
     val ofLogCommands: PersistentList<SettingSpec> = persistentListOf(logUrl, logTimeoutMillis)
 
     private fun port(name: String, default: String, help: String) =
-        SettingSpec(name, SettingKind.Whole("port number", 0, 65_535), default, help)
+        SettingSpec(name, SettingKind.Port, default, help)
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,6 +4,8 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
+import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
 import org.wisteriahinge.bench.policy.runPolicies
@@ -17,6 +19,7 @@
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "demo" -> Demo().use { it.run() }
+        name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
@@ -28,7 +31,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = SCENARIOS.joinToString { it.name }
+    val known = (SCENARIOS.map { it.name } + CONFIG_SPREAD).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.charts.Chart
 import org.wisteriahinge.charts.InvalidChartException
+import org.wisteriahinge.core.availability.availabilityChart
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
 import org.wisteriahinge.core.membership.peerChart
@@ -17,5 +18,5 @@
      * so that a broken file stops the process before it serves callers.
      */
     public fun loadAll(): PersistentList<Chart<*, *, *>> =
-        persistentListOf(attemptChart, configurationChart, peerChart)
+        persistentListOf(attemptChart, availabilityChart, configurationChart, peerChart)
 }
