--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
@@ -144,7 +144,7 @@
     private suspend fun end(end: ExchangeEnd, refuser: Refuser, read: ReadCall) {
         when (end) {
             is ExchangeEnd.Refused -> refuser.refuse(end.refusal)
-            is ExchangeEnd.Delivered -> Unit
+            is ExchangeEnd.Delivered, ExchangeEnd.Retained -> Unit
             ExchangeEnd.Broken -> refuser.abort()
         }
         val targetTime = (end as? ExchangeEnd.Delivered)?.targetTime
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -2,9 +2,11 @@
 
 import java.time.Duration
 import org.wisteriahinge.app.InstanceSettings
+import org.wisteriahinge.app.LogSettings
 import org.wisteriahinge.app.PeerSettings
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.once.OnceSettings
 
 /** The settings of an instance; call only when there are no faults. */
 internal fun SettingValues.toInstanceSettings(seed: Long): InstanceSettings = InstanceSettings(
@@ -14,14 +16,20 @@
     logUrl = get(Settings.logUrl),
     credentialKey = get(Settings.credentialKey),
     seed = seed,
-    logTimeout = Duration.ofMillis(long(Settings.logTimeoutMillis)),
+    log = LogSettings(
+        timeout = Duration.ofMillis(long(Settings.logTimeoutMillis)),
+        configurationTiming = ConfigurationTiming(
+            retention = Duration.ofSeconds(long(Settings.logRetentionSeconds))
+        )
+    ),
     defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
     maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
-    configurationTiming = ConfigurationTiming(
-        retention = Duration.ofSeconds(long(Settings.logRetentionSeconds))
-    ),
-    peers = toPeerSettings()
+    peers = toPeerSettings(),
+    once = OnceSettings(
+        window = Duration.ofSeconds(long(Settings.onceWindowSeconds)),
+        appendsPerSecond = int(Settings.onceAppendsPerSecond)
+    )
 )
 
 private fun SettingValues.toPeerSettings(): PeerSettings? =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -80,6 +80,18 @@
         "13",
         "Connections of this instance to one target; all instances together may open 250"
     )
+    val onceWindowSeconds = SettingSpec(
+        "once-window-s",
+        SettingKind.Whole("s", 10, 86_400),
+        "600",
+        "Age up to which an idempotency key is accepted; must be far below log-retention-s"
+    )
+    val onceAppendsPerSecond = SettingSpec(
+        "once-appends-per-s",
+        SettingKind.Whole("appends a second", 1, 10_000),
+        "200",
+        "Appends of claims that all instances together make"
+    )
     val credentialKey = SettingSpec(
         "credential-key",
         SettingKind.Secret,
@@ -108,6 +120,8 @@
         defaultTimeoutMillis,
         maxTimeoutMillis,
         maxConnectionsPerTarget,
+        onceWindowSeconds,
+        onceAppendsPerSecond,
         credentialKey,
         peerKey
     )
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
@@ -126,12 +126,17 @@
     val max = byName[Settings.maxTimeoutMillis.name]?.text?.toLongOrNull()
     val timeouts = "default-timeout-ms: found $default, expected at most max-timeout-ms ($max); " +
         "lower one or raise the other"
+    val window = byName[Settings.onceWindowSeconds.name]?.text?.toLongOrNull()
+    val retention = byName[Settings.logRetentionSeconds.name]?.text?.toLongOrNull()
+    val windows = "once-window-s: found $window, expected at most half of log-retention-s " +
+        "($retention), so that a claim outlives its key; lower it"
     val peerKey = "peer-key: no value, expected one because instance-list-url is set; set " +
         "${Settings.peerKey.variable} or a file by ${Settings.peerKey.fileVariable}"
     val hasPeers = byName[Settings.instanceListUrl.name]?.text?.isNotEmpty() == true
     val lacksKey = byName[Settings.peerKey.name]?.text?.isEmpty() == true
     val found = listOfNotNull(
         timeouts.takeIf { default != null && max != null && default > max },
+        windows.takeIf { window != null && retention != null && window * 2 > retention },
         peerKey.takeIf { hasPeers && lacksKey }
     )
     return copy(faults = (faults + found).toPersistentList())
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -29,6 +29,8 @@
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
+    is CallEvent.ClaimSettled -> claimSettled(event, now)
+    is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     CallEvent.Ticked -> ticked(now)
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -38,7 +38,8 @@
     val tried: PersistentSet<TargetId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
     val waitingAt: CallStage? = null,
-    val hedgeConsidered: Boolean = false
+    val hedgeConsidered: Boolean = false,
+    val claim: CallClaim = CallClaim.None
 )
 
 /** All that the decisions on calls depend on. Owned by the `calls` duty. */
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/once/OnceWake.kt
@@ -0,0 +1,14 @@
+package org.wisteriahinge.core.once
+
+import java.time.Duration
+import java.time.Instant
+
+/** Longest time between two looks at deadlines; small against every timeout of [OnceSettings]. */
+private val TICK: Duration = Duration.ofMillis(50)
+
+/** How long the `once` duty may wait for an event before it decides on [OnceEvent.Ticked]. */
+public fun OnceState.waitAfter(now: Instant): Duration {
+    if (inFlight != null || pending.isEmpty()) return TICK
+    val untilAppend = Duration.between(now, nextAppendAt)
+    return untilAppend.coerceIn(Duration.ofMillis(1), TICK)
+}
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/CallFixture.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/CallFixture.kt
@@ -34,6 +34,7 @@
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.WorkClass
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.once.ClaimSettlement
 import org.wisteriahinge.core.retry.RetrySettings
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingPolicy
@@ -140,7 +141,14 @@
         return this
     }
 
-    fun arrive(request: CallRequest) = play(CallEvent.Arrived(request))
+    /** Sends [request]; when it needs a claim, the claim is granted and [effects] follow it. */
+    fun arrive(request: CallRequest): CallPlayer {
+        play(CallEvent.Arrived(request))
+        val claims = effects.any { it is CallEffect.Claim }
+        return if (claims) grant(request.callId) else this
+    }
+
+    fun grant(callId: CallId) = play(CallEvent.ClaimSettled(callId, ClaimSettlement.Granted))
 
     fun fail(call: Long, attempt: Attempt, failure: AttemptFailure, replayable: Boolean = true) =
         play(CallEvent.AttemptFailed(CallId(call), attempt.id, failure, replayable))
