--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -6,6 +6,7 @@
 import org.wisteriahinge.app.PeerSettings
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.once.OnceSettings
 
 /** The settings of an instance; call only when there are no faults. */
 internal fun SettingValues.toInstanceSettings(seed: Long): InstanceSettings = InstanceSettings(
@@ -24,7 +25,11 @@
     defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
     maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
-    peers = toPeerSettings()
+    peers = toPeerSettings(),
+    once = OnceSettings(
+        window = Duration.ofSeconds(long(Settings.onceWindowSeconds)),
+        appendsPerSecond = int(Settings.onceAppendsPerSecond)
+    )
 )
 
 private fun SettingValues.toPeerSettings(): PeerSettings? =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
@@ -14,6 +14,9 @@
     /** The base URL of a service. */
     data object Url : SettingKind("a URL such as http://10.0.0.1:9000, without a final slash")
 
+    /** A TCP port; 0 takes any free one. */
+    data object Port : SettingKind("a port number from 0 to $MAX_PORT")
+
     /** A whole number of [unit] from [min] to [max]. */
     data class Whole(val unit: String, val min: Long, val max: Long) :
         SettingKind("a whole number of $unit from $min to $max")
@@ -26,12 +29,14 @@
         Word -> text.length in 1..MAX_WORD_LENGTH && text.none { it.isWhitespace() }
         Host -> HOST.matches(text)
         Url -> isServiceUrl(text)
+        Port -> text.toIntOrNull()?.let { it in 0..MAX_PORT } == true
         is Whole -> text.toLongOrNull()?.let { it in min..max } == true
         Secret -> text.length >= MIN_SECRET_LENGTH
     }
 
     private companion object {
         const val MAX_WORD_LENGTH = 100
+        const val MAX_PORT = 65_535
 
         /** Shorter keys can be guessed from a hash that becomes known. */
         const val MIN_SECRET_LENGTH = 16
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,6 +4,8 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
+import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.fuzz.fuzzCommand
 import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
@@ -24,6 +26,7 @@
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
+        name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
@@ -35,7 +38,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = (SCENARIOS.map { it.name } + DEEP_CALLS).joinToString()
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
