Hedge in the simulation as the instance does

Cause: the instance hedges and the simulated one did not. Change: the policy wisteriahinge hedges in the bench after the 95% quantile.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.core.retry.Hedging
+import org.wisteriahinge.core.retry.RetrySettings
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingPolicy
 
 /** A way to choose targets that the bench compares. */
@@ -35,3 +38,15 @@
 
 /** Whether a request sent now would be served well at this target. */
 internal fun SimTarget.servesWell(): Boolean = !failFast && !crashed && draining == null && !full
+
+private const val HEDGE_QUANTILE = 0.95
+
+/** Only the load balancer's own policy hedges; the baselines differ in the choice of targets. */
+internal fun BenchPolicy.Decided.retries(): RetryState = when (policy) {
+    is RoutingPolicy.Wisteriahinge ->
+        RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
+    RoutingPolicy.RoundRobin,
+    RoutingPolicy.Random,
+    RoutingPolicy.LeastInFlight,
+    RoutingPolicy.TwoChoices -> RetryState()
+}
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -56,7 +56,7 @@
     private fun initialState(index: Int, decided: BenchPolicy.Decided): CallsState {
         val zone = zoneOf(index, scenario.zones)
         val routing = RoutingState(decided.policy, zone, seed * scenario.instances + index)
-        val state = CallsState(Configuration.Empty, routing)
+        val state = CallsState(Configuration.Empty, routing, retries = decided.retries())
         val ids = List(scenario.instances) { InstanceId("instance-$it") }
         return state.decide(CallEvent.Configured(scenario.configuration(1)), instant()).state
             .decide(CallEvent.MembersChanged(ids[index], ids.toPersistentSet()), instant()).state
