--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
@@ -6,14 +6,17 @@
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
 import org.wisteriahinge.core.model.Configuration
-import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 
 /** The instance number [index] after its start with the lists and members of the scenario. */
-internal fun Scenario.initialState(index: Int, policy: RoutingPolicy, seed: Long): CallsState {
-    val routing = RoutingState(policy, zoneOf(index, zones), seed * instances + index)
+internal fun Scenario.initialState(
+    index: Int,
+    decided: BenchPolicy.Decided,
+    seed: Long
+): CallsState {
+    val routing = RoutingState(decided.policy, zoneOf(index, zones), seed * instances + index)
     val members = CallEvent.MembersChanged(instanceId(index), instanceIds())
-    return CallsState(Configuration.Empty, routing)
+    return CallsState(Configuration.Empty, routing, retries = decided.retries())
         .decide(CallEvent.Configured(configuration(1)), Instant.EPOCH).state
         .decide(members, Instant.EPOCH).state
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -52,7 +52,7 @@
     }.toPersistentList()
     private var instances: PersistentList<CallsState> = when (policy) {
         is BenchPolicy.Decided -> List(scenario.instances) {
-            scenario.initialState(it, policy.policy, seed)
+            scenario.initialState(it, policy, seed)
         }
         BenchPolicy.Ideal -> emptyList()
     }.toPersistentList()
