--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,6 +4,8 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.capacity.CAPACITY
+import org.wisteriahinge.bench.capacity.runCapacity
 import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
 import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.fuzz.fuzzCommand
@@ -25,6 +27,7 @@
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
+        name == CAPACITY -> println(runCapacity(seed.toLong()))
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
@@ -38,7 +41,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD).joinToString()
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD + CAPACITY).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
