Serve readiness, status and metrics on an admin address

Cause: an unconfirmed configuration was shown in no place that an operator or the platform can reach; the metrics had no address. Change: AdminServer with /live, /ready, /status and /metrics; admin-host and admin-port. /ready is 503 without configuration and 200 with an unconfirmed one, whose body says so. Shown by 2 tests over loopback.

--- /dev/null
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/admin/AdminServerTest.kt
@@ -0,0 +1,55 @@
+package org.wisteriahinge.adapters.admin
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import org.junit.jupiter.api.Test
+import org.wisteriahinge.adapters.metrics.ConfigurationMetrics
+import org.wisteriahinge.core.configuration.ConfigurationStanding
+import org.wisteriahinge.core.configuration.ConfigurationStatus
+import org.wisteriahinge.core.model.RevisionNumber
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+
+/** Guards against an instance that is taken out of service, or left in, for the wrong reason. */
+class AdminServerTest {
+    private val client = HttpClient.newHttpClient()
+
+    private fun get(port: Int, path: String): HttpResponse<String> = client.send(
+        HttpRequest.newBuilder(URI("http://127.0.0.1:$port$path")).build(),
+        HttpResponse.BodyHandlers.ofString()
+    )
+
+    private fun <T> serving(standing: ConfigurationStanding, use: (port: Int) -> T): T {
+        val registry = PrometheusRegistry()
+        val status = ConfigurationStatus(RevisionNumber(7), RevisionNumber(8), standing)
+        ConfigurationMetrics(registry).report(status)
+        return AdminServer(AdminSettings("127.0.0.1", 0), registry) { status }
+            .use { use(it.start()) }
+    }
+
+    @Test
+    fun `without configuration an instance is live and not ready`() {
+        serving(ConfigurationStanding.Absent) { port ->
+            expectThat(get(port, "/live").statusCode()).isEqualTo(200)
+            expectThat(get(port, "/ready").statusCode()).isEqualTo(503)
+        }
+    }
+
+    @Test
+    fun `an unconfirmed configuration stays ready and is shown everywhere`() {
+        serving(ConfigurationStanding.Unconfirmed) { port ->
+            val ready = get(port, "/ready")
+            expectThat(ready.statusCode()).isEqualTo(200)
+            expectThat(ready.body()).contains("configuration: unconfirmed")
+            expectThat(get(port, "/status").body())
+                .contains("\"configuration\":\"unconfirmed\"").contains("\"revision\":7")
+            expectThat(get(port, "/metrics").body())
+                .contains("wisteriahinge_configuration_unconfirmed 1")
+                .contains("wisteriahinge_configuration_newest_known 8")
+        }
+    }
+}
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -7,6 +7,7 @@
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.adapters.admin.AdminServer
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.backend.LoadProber
@@ -100,6 +101,9 @@
         )
     )
 
+    private val admin =
+        settings.admin?.let { AdminServer(it, registry) { configuration.status } }
+
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
         routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed)
@@ -175,11 +179,13 @@
         if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
         network?.start()
         timer.start()
+        admin?.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        admin?.close()
         once.close()
         timer.stop(STOP_TIMEOUT)
         prober.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app
 
 import java.time.Duration
+import org.wisteriahinge.adapters.admin.AdminSettings
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
@@ -19,7 +20,9 @@
     public val maxConnectionsPerTarget: Int = 13,
     /** Null for an instance without peers. */
     public val peers: PeerSettings? = null,
-    public val once: OnceSettings = OnceSettings()
+    public val once: OnceSettings = OnceSettings(),
+    /** Null for an instance without an admin address. */
+    public val admin: AdminSettings? = null
 )
 
 /** How an instance uses the log. [timeout] is for one operation. */
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
@@ -21,8 +21,8 @@
         } catch (e: IOException) {
             instance.close()
             failed(
-                "cannot listen on ${settings.callerHost}:${settings.callerPort} " +
-                    "(${e.message}); choose a free address"
+                "cannot listen on one of caller, admin and peer address " +
+                    "(${e.message}); choose free ports"
             )
         }
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app.settings
 
 import java.time.Duration
+import org.wisteriahinge.adapters.admin.AdminSettings
 import org.wisteriahinge.app.InstanceSettings
 import org.wisteriahinge.app.LogSettings
 import org.wisteriahinge.app.PeerSettings
@@ -29,7 +30,8 @@
     once = OnceSettings(
         window = Duration.ofSeconds(long(Settings.onceWindowSeconds)),
         appendsPerSecond = int(Settings.onceAppendsPerSecond)
-    )
+    ),
+    admin = AdminSettings(get(Settings.adminHost), int(Settings.adminPort))
 )
 
 private fun SettingValues.toPeerSettings(): PeerSettings? =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -40,6 +40,9 @@
     val callerHost =
         SettingSpec("caller-host", SettingKind.Host, "127.0.0.1", "Address that serves callers")
     val callerPort = port("caller-port", "8080", "Port that serves callers, 0 for any free one")
+    val adminHost =
+        SettingSpec("admin-host", SettingKind.Host, "127.0.0.1", "Address for operators")
+    val adminPort = port("admin-port", "8081", "Port for operators, 0 for any free one")
     val peerHost =
         SettingSpec("peer-host", SettingKind.Host, "127.0.0.1", "Address for other instances")
     val peerPort = port("peer-port", "8082", "Port for other instances, 0 for any free one")
@@ -111,6 +114,8 @@
         instanceName,
         callerHost,
         callerPort,
+        adminHost,
+        adminPort,
         peerHost,
         peerPort,
         instanceListUrl,
