--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -7,8 +7,10 @@
 import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
 import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.fuzz.fuzzCommand
+import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
@@ -23,6 +25,7 @@
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
+        name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
@@ -35,7 +38,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = (SCENARIOS.map { it.name } + CONFIG_SPREAD).joinToString()
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
