--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
@@ -74,7 +74,7 @@
 
     private suspend fun metrics(call: ApplicationCall) {
         val text = ByteArrayOutputStream()
-        PrometheusTextFormatWriter(false).write(text, registry.scrape())
+        PrometheusTextFormatWriter.create().write(text, registry.scrape())
         call.respondText(
             text.toString(Charsets.UTF_8),
             ContentType.parse(PrometheusTextFormatWriter.CONTENT_TYPE)
