--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/ConfigurationFeed.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/ConfigurationFeed.kt
@@ -69,6 +69,8 @@
                 )
             )
             is TailEvent.Gap -> ring.offerWaiting(ConfigurationEvent.RecordsLost(event.earliest))
+            // These tails begin at a given offset and do not look for the bounds.
+            is TailEvent.Bounded -> Unit
             // The decisions notice by the age of the last answer.
             is TailEvent.Failed -> Unit
         }
@@ -81,6 +83,7 @@
                 ring.offerWaiting(ConfigurationEvent.SnapshotsRead(snapshots.toPersistentList()))
             }
             is TailEvent.Gap -> ring.offerWaiting(ConfigurationEvent.SnapshotsLost)
+            is TailEvent.Bounded -> Unit
             is TailEvent.Failed -> Unit
         }
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.app
 
+import com.github.f4b6a3.uuid.UuidCreator
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.Closeable
 import java.time.Clock
@@ -25,6 +26,9 @@
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.retry.Hedging
+import org.wisteriahinge.core.retry.RetrySettings
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
@@ -40,8 +44,12 @@
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
 
-/** Period of hedges, queue deadlines and probes; short against the answer times of targets. */
-private val TICK_PERIOD: Duration = Duration.ofMillis(20)
+/** Waiting calls and hedges are looked at this often; short work takes a few milliseconds. */
+private val TICK: Duration = Duration.ofMillis(5)
+
+/** Share of short answers that arrive before a hedge starts. */
+private const val HEDGE_QUANTILE = 0.95
+
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -56,6 +64,7 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
+    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
     private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
@@ -69,9 +78,18 @@
         network?.let { ConfigurationPeers(it.id, it.link) },
         ::configured
     )
+    private val once = OnceService(
+        network?.id ?: InstanceId(UuidCreator.getTimeOrderedEpoch().toString()),
+        settings.once,
+        log,
+        logRing,
+        callsRing,
+        network?.link ?: UnconnectedPeers,
+        clock
+    )
     private val prober = LoadProber(clock, ::offerToCalls)
-    private val timer = TimerDuty(callsRing, TICK_PERIOD)
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
+    private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -80,22 +98,26 @@
             settings.maxTimeout
         ),
         CallerServerParts(
-            gateway = CallGateway(callsRing, MAX_CALLS),
+            gateway = gateway,
             backend = backend,
             hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
             clock = clock,
-            counters = metrics::count
+            counters = metrics::count,
+            answerListener = AnswerRetention(gateway, settings.once.maxAnswerBytes)
         )
     )
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed)
+        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed),
+        retries = RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     )
 
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Claim -> once.request(effect.request)
+            is CallEffect.EndClaim -> once.end(effect.ended)
             is CallEffect.ReportQuarantine ->
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
@@ -126,6 +148,7 @@
 
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
+        once.liveInstances(members.live.size)
         network?.let { callsRing.offerWaiting(CallMessage(membersEvent(it.id, members))) }
     }
 
@@ -142,7 +165,7 @@
             is PeerMessage.ConfigurationReply -> configuration.received(message)
             is PeerMessage.Quarantine -> quarantineReported(message.from, message.notices)
             is PeerMessage.OutcomeRequest,
-            is PeerMessage.OutcomeReply -> Unit
+            is PeerMessage.OutcomeReply -> once.received(message)
         }
     }
 
@@ -156,6 +179,7 @@
         calls.start()
         logDuty.start()
         configuration.start()
+        once.start()
         if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
         network?.start()
         timer.start()
@@ -164,11 +188,12 @@
 
     override fun close() {
         server.close()
-        timer.stop(STOP_TIMEOUT)
+        once.close()
         prober.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
+        timer.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import org.wisteriahinge.core.membership.QuarantineNotice
+import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
@@ -10,6 +11,7 @@
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.once.ClaimSettlement
 
 /** What can happen to the calls of an instance. */
 public sealed interface CallEvent {
@@ -48,6 +50,12 @@
     /** A revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : CallEvent
 
+    /** The `once` duty settled the claim of a call. */
+    public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : CallEvent
+
+    /** The front end captured the whole answer that it delivers, for later resends. */
+    public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : CallEvent
+
     /** The peer [from] reported requests that crashed servers. */
     public data class QuarantineReported(
         val from: InstanceId,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.mapBoth
 import java.time.Instant
+import org.wisteriahinge.core.admission.LongPermits
 import org.wisteriahinge.core.admission.dispatchQueued
 import org.wisteriahinge.core.admission.refuseExpired
 import org.wisteriahinge.core.model.CallId
@@ -30,15 +31,26 @@
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
+    is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
+    is CallEvent.ClaimSettled -> claimSettled(event, now)
+    is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     is CallEvent.ProbeFailed -> probeFailed(event.target)
     is CallEvent.PeerLoads ->
         CallsDecision(copy(routing = routing.peerReported(event.loads, now)))
-    is CallEvent.MembersChanged ->
-        CallsDecision(copy(routing = routing.membersChanged(event.self, event.live)))
     CallEvent.Ticked -> ticked(now)
 }
 
+private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
+    val permits = LongPermits.among(event.live, event.self)
+    return CallsDecision(
+        copy(
+            admission = admission.copy(longPermits = permits),
+            routing = routing.membersChanged(event.self, event.live)
+        )
+    )
+}
+
 private fun CallsState.configured(next: Configuration): CallsDecision =
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/LogTailDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/LogTailDuty.kt
@@ -17,6 +17,9 @@
     /** Records in order, without gaps since the last event; empty when none came in time. */
     public data class Read(val records: PersistentList<LogRecord>) : TailEvent
 
+    /** The retained part of the stream when the tail began to read at its earliest record. */
+    public data class Bounded(val bounds: LogBounds) : TailEvent
+
     /** Records before [earliest] expired unread; the tail goes on from there. */
     public data class Gap(val earliest: Long) : TailEvent
 
@@ -25,7 +28,7 @@
 }
 
 /**
- * Follows [stream] from [start] on.
+ * Follows [stream] from [start] on, or from its earliest retained record when [start] is null.
  *
  * [sink] is called on this thread and may block until its ring has room, which slows the reading
  * down instead of losing records.
@@ -33,17 +36,25 @@
 public class LogTailDuty(
     private val stream: LogStream,
     private val log: PlatformLog,
-    start: Long,
+    start: Long?,
     private val sink: EffectSink<TailEvent>
 ) : Duty("tail-${stream.wireName}") {
     private var nextOffset = start
 
     override fun runOnce() {
-        log.read(stream, nextOffset, MAX_RECORDS_PER_READ, WAIT_FOR_RECORDS)
+        val from = nextOffset ?: return locate()
+        log.read(stream, from, MAX_RECORDS_PER_READ, WAIT_FOR_RECORDS)
             .onSuccess(::accept)
             .onFailure(::fail)
     }
 
+    private fun locate() {
+        log.bounds(stream).onSuccess { bounds ->
+            nextOffset = bounds.earliest
+            sink.perform(TailEvent.Bounded(bounds))
+        }.onFailure(::fail)
+    }
+
     private fun accept(records: PersistentList<LogRecord>) {
         nextOffset = records.lastOrNull()?.let { it.offset + 1 } ?: nextOffset
         sink.perform(TailEvent.Read(records))
