--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -37,7 +37,7 @@
     is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     is CallEvent.ProbeFailed -> probeFailed(event.target)
     is CallEvent.PeerLoads ->
-        CallsDecision(copy(routing = routing.peerReported(event.from, event.loads, now)))
+        CallsDecision(copy(routing = routing.peerReported(event.loads, now)))
     CallEvent.Ticked -> ticked(now)
 }
 
