--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -1,12 +1,15 @@
 package org.wisteriahinge.app
 
+import com.github.f4b6a3.uuid.UuidCreator
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.Closeable
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.backend.LoadProber
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerParts
@@ -41,8 +44,8 @@
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
 
-/** Waiting calls and hedges are looked at this often; short work takes a few milliseconds. */
-private val TICK: Duration = Duration.ofMillis(5)
+/** Period of hedges, queue deadlines and probes; short against the answer times of targets. */
+private val TICK_PERIOD: Duration = Duration.ofMillis(20)
 
 /** Share of short answers that arrive before a hedge starts. */
 private const val HEDGE_QUANTILE = 0.95
@@ -61,7 +64,6 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
-    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
     private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
@@ -75,7 +77,19 @@
         network?.let { ConfigurationPeers(it.id, it.link) },
         ::configured
     )
+    private val once = OnceService(
+        network?.id ?: InstanceId(UuidCreator.getTimeOrderedEpoch().toString()),
+        settings.once,
+        log,
+        logRing,
+        callsRing,
+        network?.link ?: UnconnectedPeers,
+        clock
+    )
+    private val prober = LoadProber(clock, ::offerToCalls)
+    private val timer = TimerDuty(callsRing, TICK_PERIOD)
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
+    private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -84,31 +98,40 @@
             settings.maxTimeout
         ),
         CallerServerParts(
-            gateway = CallGateway(callsRing, MAX_CALLS),
+            gateway = gateway,
             backend = backend,
             hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
             clock = clock,
-            counters = metrics::count
+            counters = metrics::count,
+            answerListener = AnswerRetention(gateway, settings.once.maxAnswerBytes)
         )
     )
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed),
+        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed),
         retries = RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     )
 
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Claim -> once.request(effect.request)
+            is CallEffect.EndClaim -> once.end(effect.ended)
             is CallEffect.ReportQuarantine ->
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
+            is CallEffect.Probe -> prober.probe(effect.target)
+            is CallEffect.TellLoads -> network?.report(MembershipEvent.LoadsChanged(effect.loads))
             is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
         }
     }
 
+    private fun offerToCalls(event: CallEvent) {
+        if (callsRing.offer(CallMessage(event)) == Offer.Full) network?.noteRingFull()
+    }
+
     private fun quarantineReported(from: InstanceId, notices: PersistentList<QuarantineNotice>) {
         if (notices.isEmpty()) return
         val offer = callsRing.offer(CallMessage(CallEvent.QuarantineReported(from, notices)))
@@ -120,11 +143,13 @@
         network?.report(MembershipEvent.RevisionChanged(next.revision))
     }
 
+    private fun membersEvent(self: InstanceId, members: Members) =
+        CallEvent.MembersChanged(self, members.live)
+
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
-        val self = network?.id ?: return
-        val event = CallEvent.MembersChanged(self, members.live)
-        if (callsRing.offerReserved(CallMessage(event)) == Offer.Full) network.noteRingFull()
+        once.liveInstances(members.live.size)
+        network?.let { callsRing.offerWaiting(CallMessage(membersEvent(it.id, members))) }
     }
 
     override fun received(message: PeerMessage) {
@@ -132,31 +157,43 @@
             is PeerMessage.Heartbeat -> {
                 configuration.received(message)
                 quarantineReported(message.from, message.quarantined)
+                if (message.loads.isNotEmpty()) {
+                    offerToCalls(CallEvent.PeerLoads(message.from, message.loads))
+                }
             }
             is PeerMessage.ConfigurationRequest,
             is PeerMessage.ConfigurationReply -> configuration.received(message)
             is PeerMessage.Quarantine -> quarantineReported(message.from, message.notices)
             is PeerMessage.OutcomeRequest,
-            is PeerMessage.OutcomeReply -> Unit
+            is PeerMessage.OutcomeReply -> once.received(message)
         }
     }
 
+    private fun aloneEvent(): CallEvent {
+        val self = InstanceId("alone")
+        return CallEvent.MembersChanged(self, persistentSetOf(self))
+    }
+
     /** Starts all duties and returns the port that serves callers. */
     public fun start(): Int {
         calls.start()
-        timer.start()
         logDuty.start()
         configuration.start()
+        once.start()
+        if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
         network?.start()
+        timer.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        once.close()
+        timer.stop(STOP_TIMEOUT)
+        prober.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
-        timer.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -3,6 +3,7 @@
 import java.time.Duration
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.once.OnceSettings
 
 /** Settings of one instance. [credentialKey] is secret and never printed. */
 public class InstanceSettings(
@@ -17,7 +18,8 @@
     public val maxTimeout: Duration = Duration.ofMinutes(10),
     public val maxConnectionsPerTarget: Int = 13,
     /** Null for an instance without peers. */
-    public val peers: PeerSettings? = null
+    public val peers: PeerSettings? = null,
+    public val once: OnceSettings = OnceSettings()
 )
 
 /** How an instance uses the log. [timeout] is for one operation. */
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.fuzz.fuzzCommand
 import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
@@ -15,9 +16,12 @@
     val parser = ArgParser("bench")
     val name by parser.argument(ArgType.String, description = "demo or the name of a scenario")
     val seed by parser.option(ArgType.Int, "seed", description = "Seed of the run").default(1)
+    val steps by parser.option(ArgType.Int, "steps", description = "Steps of a fuzz run")
+        .default(20_000)
     parser.parse(args)
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
+        name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
@@ -42,7 +42,7 @@
 private const val HEDGE_QUANTILE = 0.95
 
 /** Only the load balancer's own policy hedges; the baselines differ in the choice of targets. */
-internal fun BenchPolicy.Decided.retries(): RetryState = when (policy) {
+internal fun RoutingPolicy.retries(): RetryState = when (this) {
     is RoutingPolicy.Wisteriahinge ->
         RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     RoutingPolicy.RoundRobin,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -3,15 +3,21 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import org.wisteriahinge.core.membership.QuarantineNotice
+import org.wisteriahinge.core.membership.RetainedAnswer
+import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.once.ClaimSettlement
 
 /** What can happen to the calls of an instance. */
 public sealed interface CallEvent {
+    /** An event of one attempt. */
+    public sealed interface OfAttempt : CallEvent
+
     /** A caller's request whose head was read and checked. */
     public data class Arrived(val request: CallRequest) : CallEvent
 
@@ -21,7 +27,7 @@
         val attemptId: AttemptId,
         val status: Int,
         val load: LoadReport?
-    ) : CallEvent
+    ) : OfAttempt
 
     /** An attempt ended without an answer. [replayable]: the body can be sent again. */
     public data class AttemptFailed(
@@ -30,13 +36,13 @@
         val failure: AttemptFailure,
         val replayable: Boolean,
         val load: LoadReport? = null
-    ) : CallEvent
+    ) : OfAttempt
 
     /** The whole answer was passed to the caller. */
-    public data class Completed(val callId: CallId, val attemptId: AttemptId) : CallEvent
+    public data class Completed(val callId: CallId, val attemptId: AttemptId) : OfAttempt
 
     /** The target's answer ended early after its delivery began. */
-    public data class Truncated(val callId: CallId, val attemptId: AttemptId) : CallEvent
+    public data class Truncated(val callId: CallId, val attemptId: AttemptId) : OfAttempt
 
     /** The caller closed its connection before its answer was complete. */
     public data class CallerGone(val callId: CallId) : CallEvent
@@ -47,9 +53,11 @@
     /** A revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : CallEvent
 
-    /** The [live] instances changed; [self] is this one. */
-    public data class MembersChanged(val self: InstanceId, val live: PersistentSet<InstanceId>) :
-        CallEvent
+    /** The `once` duty settled the claim of a call. */
+    public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : CallEvent
+
+    /** The front end captured the whole answer that it delivers, for later resends. */
+    public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : CallEvent
 
     /** The peer [from] reported requests that crashed servers. */
     public data class QuarantineReported(
@@ -57,6 +65,17 @@
         val notices: PersistentList<QuarantineNotice>
     ) : CallEvent
 
+    /** A probe of [target] brought no load report. */
+    public data class ProbeFailed(val target: TargetId) : CallEvent
+
+    /** The peer [from] told what it knows of targets. */
+    public data class PeerLoads(val from: InstanceId, val loads: PersistentList<TargetLoad>) :
+        CallEvent
+
+    /** The instances that take part, [self] included, changed. */
+    public data class MembersChanged(val self: InstanceId, val live: PersistentSet<InstanceId>) :
+        CallEvent
+
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
@@ -52,6 +52,7 @@
     when (stage) {
         CallStage.Quarantine -> enterQuarantine(call, now)
         CallStage.Headroom -> enterHeadroom(call, now)
+        CallStage.Claim -> enterClaim(call)
         CallStage.Admission -> enterAdmission(call, now)
     }
 
@@ -63,5 +64,6 @@
 ): CallsDecision = when (stage) {
     CallStage.Quarantine -> leaveQuarantine(call, end, now)
     CallStage.Headroom -> CallsDecision(this)
+    CallStage.Claim -> leaveClaim(call, end)
     CallStage.Admission -> leaveAdmission(call, end, now)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -12,6 +12,8 @@
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.quarantine.quarantineReported
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
+import org.wisteriahinge.core.routing.membersChanged
+import org.wisteriahinge.core.routing.peerReported
 
 /** Decides on [event] at [now]. Pure: reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
@@ -19,24 +21,39 @@
 
 private fun CallsState.decideEvent(event: CallEvent, now: Instant): CallsDecision = when (event) {
     is CallEvent.Arrived -> arrive(event.request, now)
-    is CallEvent.Answered -> attemptAnswered(event, now)
-    is CallEvent.AttemptFailed -> attemptFailed(event, now)
-    is CallEvent.Completed ->
-        stepAttempt(event.callId, event.attemptId, AttemptTrigger.Completed, now)
-    is CallEvent.Truncated ->
-        stepAttempt(event.callId, event.attemptId, AttemptTrigger.Truncated, now)
+    is CallEvent.OfAttempt -> decideAttempt(event, now)
     is CallEvent.CallerGone -> callerGone(event.callId, now)
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
     is CallEvent.Configured -> configured(event.configuration)
     is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
+    is CallEvent.ClaimSettled -> claimSettled(event, now)
+    is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
+    is CallEvent.ProbeFailed -> probeFailed(event.target)
+    is CallEvent.PeerLoads ->
+        CallsDecision(copy(routing = routing.peerReported(event.from, event.loads, now)))
     CallEvent.Ticked -> ticked(now)
 }
 
+private fun CallsState.decideAttempt(event: CallEvent.OfAttempt, now: Instant): CallsDecision =
+    when (event) {
+        is CallEvent.Answered -> attemptAnswered(event, now)
+        is CallEvent.AttemptFailed -> attemptFailed(event, now)
+        is CallEvent.Completed ->
+            stepAttempt(event.callId, event.attemptId, AttemptTrigger.Completed, now)
+        is CallEvent.Truncated ->
+            stepAttempt(event.callId, event.attemptId, AttemptTrigger.Truncated, now)
+    }
+
 private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
     val permits = LongPermits.among(event.live, event.self)
-    return CallsDecision(copy(admission = admission.copy(longPermits = permits)))
+    return CallsDecision(
+        copy(
+            admission = admission.copy(longPermits = permits),
+            routing = routing.membersChanged(event.self, event.live)
+        )
+    )
 }
 
 private fun CallsState.configured(next: Configuration): CallsDecision =
@@ -64,6 +81,8 @@
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
     .then { it.startHedges(now) }
+    .then { it.probe(now) }
+    .then { it.tellPeers(now) }
 
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TimerDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TimerDuty.kt
@@ -1,17 +1,14 @@
 package org.wisteriahinge.runtime
 
 import java.time.Duration
+import org.wisteriahinge.core.call.CallEvent
 
-/**
- * Reports to another duty that [period] passed.
- *
- * [tick] is called on this thread and must not block; a tick that finds no room in its ring is
- * dropped, because the next one serves the same purpose.
- */
-public class TimerDuty(name: String, private val period: Duration, private val tick: () -> Unit) :
-    Duty("timer-$name") {
+/** Tells the `calls` duty every [period] that time passed. */
+public class TimerDuty(private val inbox: Ring<CallMessage>, private val period: Duration) :
+    Duty("timer") {
     override fun runOnce() {
         Thread.sleep(period.toMillis())
-        tick()
+        // A full ring drops the tick; the next one does the same work.
+        inbox.offer(CallMessage(CallEvent.Ticked))
     }
 }
