Hedge after the 98% quantile

Cause: with a budget of 2% of the calls, a hedge after the 95% quantile is denied for more than half of the slow calls, whichever come first. Change: the quantile matches the budget. Conclusion: the budget goes to the slowest calls.

--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -48,7 +48,7 @@
 private val TICK_PERIOD: Duration = Duration.ofMillis(20)
 
 /** Share of short answers that arrive before a hedge starts. */
-private const val HEDGE_QUANTILE = 0.95
+private const val HEDGE_QUANTILE = 0.98
 
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/BenchPolicy.kt
@@ -39,7 +39,7 @@
 /** Whether a request sent now would be served well at this target. */
 internal fun SimTarget.servesWell(): Boolean = !failFast && !crashed && draining == null && !full
 
-private const val HEDGE_QUANTILE = 0.95
+private const val HEDGE_QUANTILE = 0.98
 
 /** Only the load balancer's own policy hedges; the baselines differ in the choice of targets. */
 internal fun RoutingPolicy.retries(): RetryState = when (this) {
