Do not hedge while calls of the service wait

Change: a hedge is denied with the reason calls_waiting. Conclusion: hedges stay for load below capacity.

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -35,6 +35,8 @@
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
+        // A hedge would take the place of a call that waits.
+        service in admission.queued -> RetryDenial.CallsWaiting
         spent == null -> RetryDenial.BudgetSpent
         choice !is RouteChoice.Chosen -> RetryDenial.NoOtherTarget
         else -> return CallsDecision(copy(retries = spent))
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
@@ -36,6 +36,9 @@
     /** The request is suspected of crashing servers. */
     public data object Suspected : RetryDenial("suspected")
 
+    /** Other calls of the service wait for a place at the targets. */
+    public data object CallsWaiting : RetryDenial("calls_waiting")
+
     /** Every available target was tried. */
     public data object NoOtherTarget : RetryDenial("no_other_target")
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/RetryTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/RetryTest.kt
@@ -160,6 +160,20 @@
         expectThat(hedged.state.routing.targets.values.sumOf { it.inFlight }).isEqualTo(0)
     }
 
+    /** Guards against hedges that take capacity from waiting calls during a peak. */
+    @Test
+    fun `a slow call is not hedged while other calls wait`() {
+        val hedged = hedging()
+        while (hedged.state.admission.queued.isEmpty()) {
+            val id = 200L + hedged.state.calls.size
+            hedged.arrive(CallFixture.request(id, arrivedAt = hedged.now))
+        }
+        hedged.now += Duration.ofMillis(30)
+        expectThat(hedged.play(CallEvent.Ticked).forwarded).isEmpty()
+        expectThat(hedged.counters)
+            .contains(CallCounter.HedgeDenied(CallFixture.service, RetryDenial.CallsWaiting))
+    }
+
     /** Guards against doubling bookings and uploads by a parallel attempt. */
     @Test
     fun `bookings and long work are not hedged`() {
