--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -45,11 +45,11 @@
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
 
-/** Waiting calls and hedges are looked at this often; short work takes a few milliseconds. */
-private val TICK: Duration = Duration.ofMillis(5)
+/** Period of hedges, queue deadlines and probes; short against the answer times of targets. */
+private val TICK: Duration = Duration.ofMillis(20)
 
 /** Share of short answers that arrive before a hedge starts. */
-private const val HEDGE_QUANTILE = 0.95
+private const val HEDGE_QUANTILE = 0.98
 
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
@@ -65,7 +65,6 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
-    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
     private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
@@ -199,7 +198,6 @@
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
-        timer.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenarios.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenarios.kt
@@ -75,5 +75,8 @@
     probeCost("probe-cost", instances = 18),
     probeCost("probe-cost-100", instances = 100),
     probeCost("probe-cost-400", instances = 400),
-    LEAVING
+    LEAVING,
+    CREST,
+    LONG_SHORT,
+    POISON
 )
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -15,6 +15,9 @@
 
 /** What can happen to the calls of an instance. */
 public sealed interface CallEvent {
+    /** An event of one attempt. */
+    public sealed interface OfAttempt : CallEvent
+
     /** A caller's request whose head was read and checked. */
     public data class Arrived(val request: CallRequest) : CallEvent
 
@@ -24,7 +27,7 @@
         val attemptId: AttemptId,
         val status: Int,
         val load: LoadReport?
-    ) : CallEvent
+    ) : OfAttempt
 
     /** An attempt ended without an answer. [replayable]: the body can be sent again. */
     public data class AttemptFailed(
@@ -33,13 +36,13 @@
         val failure: AttemptFailure,
         val replayable: Boolean,
         val load: LoadReport? = null
-    ) : CallEvent
+    ) : OfAttempt
 
     /** The whole answer was passed to the caller. */
-    public data class Completed(val callId: CallId, val attemptId: AttemptId) : CallEvent
+    public data class Completed(val callId: CallId, val attemptId: AttemptId) : OfAttempt
 
     /** The target's answer ended early after its delivery began. */
-    public data class Truncated(val callId: CallId, val attemptId: AttemptId) : CallEvent
+    public data class Truncated(val callId: CallId, val attemptId: AttemptId) : OfAttempt
 
     /** The caller closed its connection before its answer was complete. */
     public data class CallerGone(val callId: CallId) : CallEvent
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -21,12 +21,7 @@
 
 private fun CallsState.decideEvent(event: CallEvent, now: Instant): CallsDecision = when (event) {
     is CallEvent.Arrived -> arrive(event.request, now)
-    is CallEvent.Answered -> attemptAnswered(event, now)
-    is CallEvent.AttemptFailed -> attemptFailed(event, now)
-    is CallEvent.Completed ->
-        stepAttempt(event.callId, event.attemptId, AttemptTrigger.Completed, now)
-    is CallEvent.Truncated ->
-        stepAttempt(event.callId, event.attemptId, AttemptTrigger.Truncated, now)
+    is CallEvent.OfAttempt -> decideAttempt(event, now)
     is CallEvent.CallerGone -> callerGone(event.callId, now)
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
@@ -41,6 +36,16 @@
     CallEvent.Ticked -> ticked(now)
 }
 
+private fun CallsState.decideAttempt(event: CallEvent.OfAttempt, now: Instant): CallsDecision =
+    when (event) {
+        is CallEvent.Answered -> attemptAnswered(event, now)
+        is CallEvent.AttemptFailed -> attemptFailed(event, now)
+        is CallEvent.Completed ->
+            stepAttempt(event.callId, event.attemptId, AttemptTrigger.Completed, now)
+        is CallEvent.Truncated ->
+            stepAttempt(event.callId, event.attemptId, AttemptTrigger.Truncated, now)
+    }
+
 private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
     val permits = LongPermits.among(event.live, event.self)
     return CallsDecision(
