--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallGateway.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallGateway.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.adapters.caller
 
 import java.util.concurrent.Semaphore
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.model.CallId
@@ -15,19 +16,36 @@
  * At most [maxCalls] calls are in progress, and each has at most [MESSAGES_PER_CALL] events
  * waiting, so the reserved places of [inbox] suffice for the events of accepted calls.
  */
-public class CallGateway(private val inbox: Ring<CallMessage>, maxCalls: Int) {
+public class CallGateway(private val inbox: Ring<CallMessage>, private val maxCalls: Int) {
     private val places = Semaphore(maxCalls)
+    private val draining = AtomicBoolean()
     private val lastCallId = AtomicLong()
 
     /** A new id for a call. */
     public fun nextCallId(): CallId = CallId(lastCallId.incrementAndGet())
 
-    /** Announces a call; [Offer.Full] when the instance has no room for it. */
-    public fun arrive(event: CallEvent.Arrived, port: CallPort): Offer {
-        if (!places.tryAcquire()) return Offer.Full
-        val offer = inbox.offer(CallMessage(event, port))
-        if (offer == Offer.Full) places.release()
-        return offer
+    /** Whether new calls are refused because the instance is stopping. */
+    public val isDraining: Boolean get() = draining.get()
+
+    /** Calls between their arrival and the end of their answer. */
+    public val callsInProgress: Int get() = maxCalls - places.availablePermits()
+
+    /** Announces a call, or says why the instance does not take it. */
+    public fun arrive(event: CallEvent.Arrived, port: CallPort): Entry {
+        if (!places.tryAcquire()) return Entry.Full
+        // The place is taken before the check, so that a stop sees this call or refuses it.
+        val entry = when {
+            isDraining -> Entry.Draining
+            inbox.offer(CallMessage(event, port)) == Offer.Full -> Entry.Full
+            else -> return Entry.Accepted
+        }
+        places.release()
+        return entry
+    }
+
+    /** Refuses calls from now on; calls in progress go on. */
+    public fun drain() {
+        draining.set(true)
     }
 
     /** Reports a later event of an accepted call. */
@@ -47,3 +65,15 @@
         public const val MESSAGES_PER_CALL: Int = 6
     }
 }
+
+/** What became of an arriving call. */
+public sealed interface Entry {
+    /** The `calls` duty decides on it. */
+    public data object Accepted : Entry
+
+    /** The instance has no room for it. */
+    public data object Full : Entry
+
+    /** The instance is stopping. */
+    public data object Draining : Entry
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.adapters.caller
 
 import com.github.michaelbull.result.getOrElse
+import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.call
@@ -9,6 +10,7 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.netty.Netty
+import io.ktor.server.response.header
 import io.netty.channel.ChannelPipeline
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
@@ -23,9 +25,8 @@
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.runtime.EffectSink
-import org.wisteriahinge.runtime.Offer
 
-private val RETRY_AFTER_OVERLOAD: Duration = Duration.ofSeconds(1)
+private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofSeconds(1)
 
 /** Where the caller server listens and the bounds that it sets on callers. */
 public data class CallerServerSettings(
@@ -114,6 +115,7 @@
     private suspend fun serve(call: ApplicationCall) {
         val callId = gateway.nextCallId()
         val refuser = Refuser(call, callId)
+        if (gateway.isDraining) call.response.header(HttpHeaders.Connection, "close")
         val read = reader.read(call, callId).getOrElse { reason ->
             countRefused(reason)
             return refuser.refuse(Refusal(reason, Execution.NotRun))
@@ -129,11 +131,9 @@
         val request = read.forwarded.request
         val exchange = CallExchange(call, read.forwarded, services)
         when (gateway.arrive(CallEvent.Arrived(request), exchange::accept)) {
-            Offer.Full -> {
-                countRefused(RefusalReason.InstanceOverloaded)
-                refuser.refuse(overloaded())
-            }
-            Offer.Accepted -> try {
+            Entry.Full -> refuser.refuse(notTaken(RefusalReason.InstanceOverloaded))
+            Entry.Draining -> refuser.refuse(notTaken(RefusalReason.Draining))
+            Entry.Accepted -> try {
                 end(exchange.run(), refuser, read)
             } finally {
                 gateway.leave()
@@ -153,8 +153,10 @@
         )
     }
 
-    private fun overloaded() =
-        Refusal(RefusalReason.InstanceOverloaded, Execution.NotRun, RETRY_AFTER_OVERLOAD)
+    private fun notTaken(reason: RefusalReason): Refusal {
+        countRefused(reason)
+        return Refusal(reason, Execution.NotRun, RETRY_AFTER_NOT_TAKEN)
+    }
 
     override fun close() {
         server.stop(gracePeriodMillis = 0, timeoutMillis = 1_000)
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/Refuser.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/Refuser.kt
@@ -20,7 +20,9 @@
             call.response.header(HttpHeaders.RetryAfter, it.toSeconds().coerceAtLeast(1))
         }
         // A body that was not read would be taken for the next request.
-        if (call.hasUnreadBody()) call.response.header(HttpHeaders.Connection, "close")
+        if (call.hasUnreadBody() && call.response.headers[HttpHeaders.Connection] == null) {
+            call.response.header(HttpHeaders.Connection, "close")
+        }
         call.respondText(
             text = ProblemDocument.of(refusal, callId.toString()).toJson(),
             contentType = ContentType.parse(ProblemDocument.MEDIA_TYPE),
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
@@ -7,12 +7,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
-import org.wisteriahinge.adapters.lists.ListTexts
 import org.wisteriahinge.adapters.lists.readLists
 import org.wisteriahinge.core.call.CallCounter
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.configuration.ListTexts
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.RevisionNumber
 import org.wisteriahinge.core.model.Zone
--- a/app/src/main/kotlin/org/wisteriahinge/app/ConfigurationPart.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/ConfigurationPart.kt
@@ -47,7 +47,8 @@
     peers: ConfigurationPeers? = null,
     apply: EffectSink<Configuration>
 ) : Closeable {
-    private val self =
+    /** Names this instance to its peers and to operators. */
+    public val self: InstanceId =
         peers?.self ?: InstanceId(UuidCreator.getTimeOrderedEpoch().toString())
     private val ring = Ring<ConfigurationEvent>("configuration", RING_CAPACITY, RESERVED_PLACES)
     private val metrics = ConfigurationMetrics(registry)
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -1,31 +1,42 @@
 package org.wisteriahinge.app
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.Closeable
+import java.io.IOException
 import java.time.Clock
 import java.time.Duration
+import org.wisteriahinge.adapters.admin.AdminAddress
+import org.wisteriahinge.adapters.admin.AdminServer
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.CallGateway
+import org.wisteriahinge.adapters.caller.CallLog
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerParts
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.log.HttpPlatformLog
 import org.wisteriahinge.adapters.metrics.CallMetrics
+import org.wisteriahinge.adapters.metrics.InstanceMetrics
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.lifecycle.LifecycleAction
+import org.wisteriahinge.core.lifecycle.LifecycleEvent
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
 import org.wisteriahinge.runtime.CallMessage
 import org.wisteriahinge.runtime.CallsDuty
+import org.wisteriahinge.runtime.LifecycleDuty
 import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Ring
 import org.wisteriahinge.runtime.offerWaiting
 
+private val logger = KotlinLogging.logger {}
+
 private const val CALLS_RING_CAPACITY = 8_192
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
@@ -51,20 +62,31 @@
         registry,
         clock
     ) { callsRing.offerWaiting(CallMessage(CallEvent.Configured(it))) }
-    private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
+    private val backend = BackendClient(ConnectionLimits(settings.calls.maxConnectionsPerTarget))
+    private val gateway = CallGateway(callsRing, MAX_CALLS)
+    private val process = InstanceMetrics(registry, gateway::callsInProgress)
+    private val lifecycle =
+        LifecycleDuty(settings.process.drainTime, clock, gateway::callsInProgress, ::perform)
+    private val admin = AdminServer(
+        AdminAddress(settings.process.adminHost, settings.process.adminPort),
+        InstanceView(settings.zone, lifecycle, gateway, callsRing, configuration),
+        registry
+    )
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
             settings.callerPort,
-            settings.defaultTimeout,
-            settings.maxTimeout
+            settings.calls.defaultTimeout,
+            settings.calls.maxTimeout,
+            settings.calls.body
         ),
         CallerServerParts(
-            gateway = CallGateway(callsRing, MAX_CALLS),
+            gateway = gateway,
             backend = backend,
             hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
             clock = clock,
-            counters = metrics::count
+            counters = metrics::count,
+            observer = CallLog { it.added?.let(process::added) }
         )
     )
 
@@ -77,12 +99,39 @@
         if (effect is CallEffect.Count) metrics.count(effect.counter)
     }
 
-    /** Starts all duties and returns the port that serves callers. */
-    public fun start(): Int {
+    private fun perform(action: LifecycleAction) {
+        when (action) {
+            LifecycleAction.RefuseNewCalls -> gateway.drain()
+            LifecycleAction.AnnounceLeaving -> logger.info { "draining; new calls are refused" }
+            LifecycleAction.CountCutOff ->
+                logger.warn { "${gateway.callsInProgress} calls outlast the drain time" }
+            LifecycleAction.ReleaseProcess -> Unit
+        }
+    }
+
+    /**
+     * Starts all duties and returns the ports in use.
+     *
+     * @throws java.net.BindException if an address is in use; the instance is then closed.
+     */
+    public fun start(): InstancePorts {
+        lifecycle.start()
         calls.start()
         logDuty.start()
         configuration.start()
-        return server.start()
+        try {
+            val ports = InstancePorts(admin = admin.start(), caller = server.start())
+            lifecycle.announce(LifecycleEvent.Started)
+            return ports
+        } catch (e: IOException) {
+            close()
+            throw e
+        }
+    }
+
+    /** Refuses new calls and waits until those in progress ended, at most for the drain time. */
+    public fun drain() {
+        lifecycle.drain(settings.process.drainTime + STOP_TIMEOUT)
     }
 
     override fun close() {
@@ -90,7 +139,12 @@
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
+        lifecycle.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
+        admin.close()
     }
 }
+
+/** The ports that an instance listens on. */
+public data class InstancePorts(val caller: Int, val admin: Int)
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app
 
 import java.time.Duration
+import org.wisteriahinge.adapters.caller.BodyLimits
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 
@@ -13,8 +14,22 @@
     public val credentialKey: String,
     public val seed: Long,
     public val logTimeout: Duration = Duration.ofSeconds(5),
-    public val defaultTimeout: Duration = Duration.ofSeconds(10),
-    public val maxTimeout: Duration = Duration.ofMinutes(10),
-    public val maxConnectionsPerTarget: Int = 13,
-    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    public val calls: CallSettings = CallSettings(),
+    public val process: ProcessSettings = ProcessSettings()
+)
+
+/** Bounds of the time, the bodies and the connections of calls. */
+public data class CallSettings(
+    val defaultTimeout: Duration = Duration.ofSeconds(10),
+    val maxTimeout: Duration = Duration.ofMinutes(10),
+    val maxConnectionsPerTarget: Int = 13,
+    val body: BodyLimits = BodyLimits()
+)
+
+/** Where operators reach the instance, and how long calls in progress have after SIGTERM. */
+public data class ProcessSettings(
+    val adminHost: String = "127.0.0.1",
+    val adminPort: Int = 0,
+    val drainTime: Duration = Duration.ofSeconds(20)
 )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInTarget.kt
@@ -39,6 +39,9 @@
     /** Requests that this target ran. */
     public val servedCount: Int get() = served.get()
 
+    /** Requests that are being served now. */
+    public val inFlightCount: Int get() = inFlight.get()
+
     /** Starts listening and returns the port. */
     public fun start(): Int {
         server.start(wait = false)
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -5,6 +5,8 @@
 import org.wisteriahinge.charts.Chart
 import org.wisteriahinge.charts.InvalidChartException
 import org.wisteriahinge.core.call.attemptChart
+import org.wisteriahinge.core.configuration.configurationChart
+import org.wisteriahinge.core.lifecycle.lifecycleChart
 import org.wisteriahinge.core.membership.peerChart
 
 /** Every chart that the decisions interpret. */
@@ -15,5 +17,10 @@
      * @throws InvalidChartException if a chart file is missing or has a fault; called at startup,
      * so that a broken file stops the process before it serves callers.
      */
-    public fun loadAll(): PersistentList<Chart<*, *, *>> = persistentListOf(attemptChart, peerChart)
+    public fun loadAll(): PersistentList<Chart<*, *, *>> = persistentListOf(
+        attemptChart,
+        configurationChart,
+        lifecycleChart,
+        peerChart
+    )
 }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/LifecycleDuty.kt
@@ -0,0 +1,55 @@
+package org.wisteriahinge.runtime
+
+import java.time.Clock
+import java.time.Duration
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import org.wisteriahinge.core.lifecycle.LifecycleAction
+import org.wisteriahinge.core.lifecycle.LifecycleEvent
+import org.wisteriahinge.core.lifecycle.LifecyclePhase
+import org.wisteriahinge.core.lifecycle.LifecycleState
+
+private const val INBOX_CAPACITY = 16
+
+/** How often the calls in progress are counted; bounds the delay of a stop. */
+private val COUNT_PERIOD: Duration = Duration.ofMillis(50)
+
+/** Owns the phase of the instance and guides its graceful stop. */
+public class LifecycleDuty(
+    drainTime: Duration,
+    private val clock: Clock,
+    private val callsInProgress: () -> Int,
+    private val effects: EffectSink<LifecycleAction>
+) : Duty("lifecycle") {
+    private val inbox = Ring<LifecycleEvent>("lifecycle", INBOX_CAPACITY)
+    private val released = CountDownLatch(1)
+
+    @Volatile
+    private var state = LifecycleState(drainTime)
+
+    /** The phase; may be read on any thread. */
+    public val phase: LifecyclePhase get() = state.phase
+
+    /** Passes [event] on; a repeated event that finds the ring full changes nothing. */
+    public fun announce(event: LifecycleEvent) {
+        inbox.offer(event)
+    }
+
+    /** Requests a stop and waits until the calls in progress ended, at most for [timeout]. */
+    public fun drain(timeout: Duration) {
+        announce(LifecycleEvent.StopRequested)
+        released.await(timeout.toMillis(), TimeUnit.MILLISECONDS)
+    }
+
+    override fun runOnce() {
+        val event = inbox.take(COUNT_PERIOD) ?: LifecycleEvent.CallsCounted(callsInProgress())
+        val decision = state.decide(event, clock.instant())
+        state = decision.state
+        decision.actions.forEach(::perform)
+    }
+
+    private fun perform(action: LifecycleAction) {
+        effects.perform(action)
+        if (action == LifecycleAction.ReleaseProcess) released.countDown()
+    }
+}
