--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -58,10 +58,7 @@
             HeaderField(WireHeaders.TIMEOUT_MILLIS, remaining.toMillis().toString()),
             HeaderField(WireHeaders.DEPTH, (request.depth + 1).toString()),
             HeaderField(WireHeaders.ATTEMPT, attempt.number.toString()),
-            HeaderField(WireHeaders.NO_RETRY, "1").takeIf {
-                attempt.noRetry ||
-                    !request.retriesAllowed
-            },
+            HeaderField(WireHeaders.NO_RETRY, "1").takeIf { attempt.noRetry },
             request.idempotencyKey?.let { HeaderField(WireHeaders.IDEMPOTENCY_KEY, it.value) }
         )
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -6,6 +6,7 @@
 import java.io.IOException
 import java.time.Clock
 import java.time.Duration
+import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.adapters.admin.AdminAddress
 import org.wisteriahinge.adapters.admin.AdminServer
 import org.wisteriahinge.adapters.backend.BackendClient
@@ -24,7 +25,13 @@
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.lifecycle.LifecycleAction
 import org.wisteriahinge.core.lifecycle.LifecycleEvent
+import org.wisteriahinge.core.membership.Members
+import org.wisteriahinge.core.membership.MembershipEvent
+import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.core.membership.PeerPhase
+import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
@@ -32,6 +39,7 @@
 import org.wisteriahinge.runtime.CallsDuty
 import org.wisteriahinge.runtime.LifecycleDuty
 import org.wisteriahinge.runtime.LogDuty
+import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
 import org.wisteriahinge.runtime.offerWaiting
 
@@ -43,7 +51,9 @@
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
-public class Instance(private val settings: InstanceSettings, clock: Clock) : Closeable {
+public class Instance(private val settings: InstanceSettings, clock: Clock) :
+    PeerListener,
+    Closeable {
     private val registry = PrometheusRegistry()
     private val metrics = CallMetrics(registry)
     private val callsRing = Ring<CallMessage>(
@@ -55,13 +65,16 @@
     private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
+    private val network = settings.peers?.let { PeerNetwork(it, registry, this, clock) }
     private val configuration = ConfigurationPart(
         settings.configurationTiming,
         log,
         logRing,
         registry,
-        clock
-    ) { callsRing.offerWaiting(CallMessage(CallEvent.Configured(it))) }
+        clock,
+        network?.let { ConfigurationPeers(it.id, it.link) },
+        ::configured
+    )
     private val backend = BackendClient(ConnectionLimits(settings.calls.maxConnectionsPerTarget))
     private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val process = InstanceMetrics(registry, gateway::callsInProgress)
@@ -96,13 +109,54 @@
     )
 
     private fun perform(effect: CallEffect) {
-        if (effect is CallEffect.Count) metrics.count(effect.counter)
+        when (effect) {
+            is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.ReportQuarantine ->
+                network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
+            is CallEffect.SummarizeQuarantine ->
+                network?.report(MembershipEvent.QuarantineChanged(effect.notices))
+            is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
+        }
+    }
+
+    private fun quarantineReported(from: InstanceId, notices: PersistentList<QuarantineNotice>) {
+        if (notices.isEmpty()) return
+        val offer = callsRing.offer(CallMessage(CallEvent.QuarantineReported(from, notices)))
+        if (offer == Offer.Full) network?.noteRingFull()
+    }
+
+    private fun configured(next: Configuration) {
+        callsRing.offerWaiting(CallMessage(CallEvent.Configured(next)))
+        network?.report(MembershipEvent.RevisionChanged(next.revision))
+    }
+
+    override fun membersChanged(members: Members) {
+        configuration.membersChanged(members)
+    }
+
+    override fun received(message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Heartbeat -> {
+                configuration.received(message)
+                quarantineReported(message.from, message.quarantined)
+            }
+            is PeerMessage.ConfigurationRequest,
+            is PeerMessage.ConfigurationReply -> configuration.received(message)
+            is PeerMessage.Quarantine -> quarantineReported(message.from, message.notices)
+            is PeerMessage.OutcomeRequest,
+            is PeerMessage.OutcomeReply -> Unit
+        }
     }
 
     private fun perform(action: LifecycleAction) {
         when (action) {
             LifecycleAction.RefuseNewCalls -> gateway.drain()
-            LifecycleAction.AnnounceLeaving -> logger.info { "draining; new calls are refused" }
+            LifecycleAction.AnnounceServing ->
+                network?.report(MembershipEvent.PhaseChanged(PeerPhase.Serving))
+            LifecycleAction.AnnounceLeaving -> {
+                logger.info { "draining; new calls are refused" }
+                network?.report(MembershipEvent.PhaseChanged(PeerPhase.Draining))
+            }
             LifecycleAction.CountCutOff ->
                 logger.warn { "${gateway.callsInProgress} calls outlast the drain time" }
             LifecycleAction.ReleaseProcess -> Unit
@@ -120,6 +174,7 @@
         logDuty.start()
         configuration.start()
         try {
+            network?.start()
             val ports = InstancePorts(admin = admin.start(), caller = server.start())
             lifecycle.announce(LifecycleEvent.Started)
             return ports
@@ -136,6 +191,7 @@
 
     override fun close() {
         server.close()
+        network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -5,7 +5,11 @@
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 
-/** Settings of one instance. [credentialKey] is secret and never printed. */
+/**
+ * Settings of one instance. [credentialKey] is secret and never printed.
+ *
+ * [peers] is null for a deployment that consists of this instance alone.
+ */
 public class InstanceSettings(
     public val zone: Zone,
     public val callerHost: String,
@@ -15,6 +19,7 @@
     public val seed: Long,
     public val logTimeout: Duration = Duration.ofSeconds(5),
     public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    public val peers: PeerSettings? = null,
     public val calls: CallSettings = CallSettings(),
     public val process: ProcessSettings = ProcessSettings()
 )
--- a/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleChart.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleChart.kt
@@ -30,6 +30,8 @@
 
 /** What a transition of the instance asks for. */
 public sealed class LifecycleAction(override val chartName: String) : ChartName {
+    /** Tell the peers that this instance serves callers. */
+    public data object AnnounceServing : LifecycleAction("announce_serving")
     public data object RefuseNewCalls : LifecycleAction("refuse_new_calls")
 
     /** Tell the peers that this instance is leaving. */
@@ -57,6 +59,7 @@
                 LifecycleTrigger.DrainExpired
             ),
             effects = persistentListOf(
+                LifecycleAction.AnnounceServing,
                 LifecycleAction.RefuseNewCalls,
                 LifecycleAction.AnnounceLeaving,
                 LifecycleAction.CountCutOff,
