Measure the time that an instance adds to a call

Cause: the aim of 500 us added for 99 in 100 was not measured. Change: bin/bench added-latency sends the same keep-alive requests direct to a stand-in and through one instance in turn, open loop, 1,000 a second each.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -17,6 +17,7 @@
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "demo" -> Demo().use { it.run() }
+        name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
