--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -36,6 +36,9 @@
     /** The caller got the whole answer, [targetTime] after the request went to the target. */
     data class Delivered(val targetTime: Duration) : ExchangeEnd
 
+    /** The caller got the retained answer of an earlier copy of its request. */
+    data object Retained : ExchangeEnd
+
     /** Part of an answer was passed on; the caller must not take it for the whole. */
     data object Broken : ExchangeEnd
 }
@@ -44,6 +47,7 @@
 internal fun ExchangeEnd.describe(): String = when (this) {
     is ExchangeEnd.Refused -> refusal.reason.wireName
     is ExchangeEnd.Delivered -> "delivered"
+    ExchangeEnd.Retained -> "retained"
     ExchangeEnd.Broken -> "broken"
 }
 
@@ -95,6 +99,10 @@
                 is CallEffect.CancelAttempt -> running[effect.attemptId]?.job?.cancel()
                 is CallEffect.Refuse -> return refused(effect.refusal)
                 is CallEffect.Finished -> return ended(delivery)
+                is CallEffect.DeliverRetained -> {
+                    call.respondRetained(effect.answer)
+                    return ExchangeEnd.Retained
+                }
             }
         }
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.app
 
+import com.github.f4b6a3.uuid.UuidCreator
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.Closeable
@@ -7,10 +8,12 @@
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.adapters.admin.AdminAddress
 import org.wisteriahinge.adapters.admin.AdminServer
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.backend.LoadProber
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallLog
 import org.wisteriahinge.adapters.caller.CallerServer
@@ -32,6 +35,9 @@
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.retry.Hedging
+import org.wisteriahinge.core.retry.RetrySettings
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
@@ -41,6 +47,7 @@
 import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.TimerDuty
 import org.wisteriahinge.runtime.offerWaiting
 
 private val logger = KotlinLogging.logger {}
@@ -48,6 +55,13 @@
 private const val CALLS_RING_CAPACITY = 8_192
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
+
+/** Waiting calls and hedges are looked at this often; short work takes a few milliseconds. */
+private val TICK: Duration = Duration.ofMillis(5)
+
+/** Share of short answers that arrive before a hedge starts. */
+private const val HEDGE_QUANTILE = 0.95
+
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -62,12 +76,13 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
-    private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
+    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
+    private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
     private val network = settings.peers?.let { PeerNetwork(it, registry, this, clock) }
     private val configuration = ConfigurationPart(
-        settings.configurationTiming,
+        settings.log.configurationTiming,
         log,
         logRing,
         registry,
@@ -75,6 +90,16 @@
         network?.let { ConfigurationPeers(it.id, it.link) },
         ::configured
     )
+    private val once = OnceService(
+        network?.id ?: InstanceId(UuidCreator.getTimeOrderedEpoch().toString()),
+        settings.once,
+        log,
+        logRing,
+        callsRing,
+        network?.link ?: UnconnectedPeers,
+        clock
+    )
+    private val prober = LoadProber(clock, ::offerToCalls)
     private val backend = BackendClient(ConnectionLimits(settings.calls.maxConnectionsPerTarget))
     private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val process = InstanceMetrics(registry, gateway::callsInProgress)
@@ -99,26 +124,36 @@
             hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
             clock = clock,
             counters = metrics::count,
-            observer = CallLog { it.added?.let(process::added) }
+            observer = CallLog { it.added?.let(process::added) },
+            answerListener = AnswerRetention(gateway, settings.once.maxAnswerBytes)
         )
     )
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed)
+        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed),
+        retries = RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     )
 
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Claim -> once.request(effect.request)
+            is CallEffect.EndClaim -> once.end(effect.ended)
             is CallEffect.ReportQuarantine ->
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
+            is CallEffect.Probe -> prober.probe(effect.target)
+            is CallEffect.TellLoads -> network?.report(MembershipEvent.LoadsChanged(effect.loads))
             is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
         }
     }
 
+    private fun offerToCalls(event: CallEvent) {
+        if (callsRing.offer(CallMessage(event)) == Offer.Full) network?.noteRingFull()
+    }
+
     private fun quarantineReported(from: InstanceId, notices: PersistentList<QuarantineNotice>) {
         if (notices.isEmpty()) return
         val offer = callsRing.offer(CallMessage(CallEvent.QuarantineReported(from, notices)))
@@ -130,8 +165,13 @@
         network?.report(MembershipEvent.RevisionChanged(next.revision))
     }
 
+    private fun membersEvent(self: InstanceId, members: Members) =
+        CallEvent.MembersChanged(self, members.live)
+
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
+        once.liveInstances(members.live.size)
+        network?.let { callsRing.offerWaiting(CallMessage(membersEvent(it.id, members))) }
     }
 
     override fun received(message: PeerMessage) {
@@ -139,15 +179,23 @@
             is PeerMessage.Heartbeat -> {
                 configuration.received(message)
                 quarantineReported(message.from, message.quarantined)
+                if (message.loads.isNotEmpty()) {
+                    offerToCalls(CallEvent.PeerLoads(message.from, message.loads))
+                }
             }
             is PeerMessage.ConfigurationRequest,
             is PeerMessage.ConfigurationReply -> configuration.received(message)
             is PeerMessage.Quarantine -> quarantineReported(message.from, message.notices)
             is PeerMessage.OutcomeRequest,
-            is PeerMessage.OutcomeReply -> Unit
+            is PeerMessage.OutcomeReply -> once.received(message)
         }
     }
 
+    private fun aloneEvent(): CallEvent {
+        val self = InstanceId("alone")
+        return CallEvent.MembersChanged(self, persistentSetOf(self))
+    }
+
     private fun perform(action: LifecycleAction) {
         when (action) {
             LifecycleAction.RefuseNewCalls -> gateway.drain()
@@ -173,6 +221,9 @@
         calls.start()
         logDuty.start()
         configuration.start()
+        once.start()
+        if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
+        timer.start()
         try {
             network?.start()
             val ports = InstancePorts(admin = admin.start(), caller = server.start())
@@ -191,9 +242,12 @@
 
     override fun close() {
         server.close()
+        once.close()
+        prober.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
+        timer.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         lifecycle.stop(STOP_TIMEOUT)
         backend.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -4,12 +4,9 @@
 import org.wisteriahinge.adapters.caller.BodyLimits
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.once.OnceSettings
 
-/**
- * Settings of one instance. [credentialKey] is secret and never printed.
- *
- * [peers] is null for a deployment that consists of this instance alone.
- */
+/** Settings of one instance. [credentialKey] is secret and never printed. */
 public class InstanceSettings(
     public val zone: Zone,
     public val callerHost: String,
@@ -17,9 +14,10 @@
     public val logUrl: String,
     public val credentialKey: String,
     public val seed: Long,
-    public val logTimeout: Duration = Duration.ofSeconds(5),
-    public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
+    public val log: LogSettings = LogSettings(),
+    /** Null for an instance without peers. */
     public val peers: PeerSettings? = null,
+    public val once: OnceSettings = OnceSettings(),
     public val calls: CallSettings = CallSettings(),
     public val process: ProcessSettings = ProcessSettings()
 )
@@ -38,3 +36,9 @@
     val adminPort: Int = 0,
     val drainTime: Duration = Duration.ofSeconds(20)
 )
+
+/** How an instance uses the log. [timeout] is for one operation. */
+public class LogSettings(
+    public val timeout: Duration = Duration.ofSeconds(5),
+    public val configurationTiming: ConfigurationTiming = ConfigurationTiming()
+)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,8 +4,13 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
+import org.wisteriahinge.bench.configuration.runConfigSpread
+import org.wisteriahinge.bench.fuzz.fuzzCommand
+import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
@@ -13,11 +18,16 @@
     val parser = ArgParser("bench")
     val name by parser.argument(ArgType.String, description = "demo or the name of a scenario")
     val seed by parser.option(ArgType.Int, "seed", description = "Seed of the run").default(1)
+    val steps by parser.option(ArgType.Int, "steps", description = "Steps of a fuzz run")
+        .default(20_000)
     parser.parse(args)
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
+        name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
         name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
+        name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
+        name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
@@ -29,7 +39,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = SCENARIOS.joinToString { it.name }
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.HdrHistogram.Histogram
+import org.wisteriahinge.core.routing.PROBE_SLOT_MILLIS
 
 /** How a request ended. */
 internal sealed interface Ending {
@@ -44,23 +45,34 @@
 internal fun RunResult.measured(): List<Outcome> =
     outcomes.filter { it.request.atMicros >= scenario.warmupMillis * MICROS_PER_MILLI }
 
-/** Latencies of the answers among [among], in microseconds. */
-internal fun latencies(among: List<Outcome>): Histogram {
-    val histogram = Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS)
-    among.filter { it.ending is Ending.Answered }.forEach {
+/**
+ * Latencies of the answers among [among], in microseconds. A request that waited in vain up to
+ * its deadline counts with that time, so that losing slow requests does not improve the figures.
+ */
+internal fun RunResult.latencies(among: List<Outcome>): Histogram {
+    val histogram = emptyHistogram()
+    val deadlineMicros = scenario.deadlineMillis * MICROS_PER_MILLI
+    among.filter { it.ending is Ending.Answered || it.latencyMicros >= deadlineMicros }.forEach {
         histogram.recordValue(it.latencyMicros.coerceAtMost(MAX_LATENCY_MICROS))
     }
     return histogram
 }
 
+internal fun emptyHistogram(): Histogram = Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS)
+
 internal fun Histogram.millisAt(percentile: Double): Double =
     getValueAtPercentile(percentile) / MICROS_PER_MILLI.toDouble()
 
-/** Requests answered well over those that full capacity could have answered. */
+/** Requests answered well over those that full capacity could have answered at each demand. */
 internal fun RunResult.goodputRatio(): Double {
     val among = measured()
-    val seconds = (scenario.durationMillis - scenario.warmupMillis) / 1_000.0
-    val possible = minOf(among.size.toDouble(), scenario.capacityPerSecond * seconds)
+    val ends = scenario.demand.drop(1).map { it.atMillis } + scenario.durationMillis
+    val possible = scenario.demand.zip(ends).sumOf { (step, end) ->
+        val start = maxOf(step.atMillis, scenario.warmupMillis)
+        val micros = start * MICROS_PER_MILLI..<end * MICROS_PER_MILLI
+        val offered = among.count { it.request.atMicros in micros }
+        minOf(offered.toDouble(), scenario.capacityPerSecond * (end - start) / 1_000)
+    }
     return among.count { it.good(scenario.deadlineMillis) } / possible
 }
 
@@ -68,12 +80,21 @@
     among.count { it.ending is Ending.Refused }.toDouble() / among.size
 }
 
-/** Probes over the requests that all targets could serve; a probe is counted as a request. */
-internal fun RunResult.probeLoadRatio(): Double =
-    probes.values.sum() / (scenario.capacityPerSecond * scenario.durationMillis / 1_000)
+internal fun RunResult.probed(cell: ProbeCell): RunResult =
+    if (cell.second * 1_000 >= scenario.durationMillis) {
+        this
+    } else {
+        copy(probes = probes.put(cell, (probes[cell] ?: 0) + 1))
+    }
+
+/** Slot time of the probes over the slot time of all targets. */
+internal fun RunResult.probeLoadRatio(): Double {
+    val slotMillis = scenario.targets * scenario.slots * scenario.durationMillis
+    return probes.values.sum() * PROBE_SLOT_MILLIS / slotMillis.toDouble()
+}
 
-/** The highest ratio of probes to capacity of any target in any whole second. */
+/** The highest ratio of probes to slot time of any target in any whole second. */
 internal fun RunResult.probeLoadRatioMaxSecond(): Double =
-    (probes.values.maxOrNull() ?: 0) * scenario.targets / scenario.capacityPerSecond
+    (probes.values.maxOrNull() ?: 0) * PROBE_SLOT_MILLIS / (scenario.slots * 1_000.0)
 
 internal fun RunResult.retryRatio(): Double = retries.toDouble() / maxOf(1, outcomes.size)
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.charts.Chart
 import org.wisteriahinge.charts.InvalidChartException
+import org.wisteriahinge.core.availability.availabilityChart
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
 import org.wisteriahinge.core.lifecycle.lifecycleChart
@@ -19,6 +20,7 @@
      */
     public fun loadAll(): PersistentList<Chart<*, *, *>> = persistentListOf(
         attemptChart,
+        availabilityChart,
         configurationChart,
         lifecycleChart,
         peerChart
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -35,7 +35,7 @@
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
     val started = copy(retries = retries.callStarted(call.matched.service.id))
         .occupyPlace(call, now)
-    return when (val choice = routing.choose(routeRequest(call, now))) {
+    return when (val choice = routing.choose(routeRequest(call, now), now)) {
         is RouteChoice.Chosen -> started.forward(call, choice, now)
         RouteChoice.NoTarget -> refuse(
             call.request.callId,
@@ -69,7 +69,12 @@
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
-        routing = choice.routing.attemptStarted(attempt.id, choice.target.id, now),
+        routing = choice.routing.attemptStarted(
+            attempt.id,
+            choice.target.id,
+            call.matched.operation.id,
+            now
+        ),
         admission = admission.attemptStarted(attempt, call.matched.operation.workClass)
     )
     return CallsDecision(next).emit(CallEffect.Forward(call.request.callId, attempt))
@@ -80,7 +85,7 @@
     val inProgress = call.attempts[event.attemptId] ?: return CallsDecision(this)
     val result = AttemptResult.Answered(event.status, event.load)
     val counted = CallCounter.Answered(call.matched.service.id, event.status)
-    val seen = copy(routing = routing.attemptResult(event.attemptId, result))
+    val seen = copy(routing = routing.attemptResult(event.attemptId, result, now))
         .observeAnswerTime(call, inProgress, now)
         .observeLoad(call, event.load)
     val cause = RetryCause.ErrorAnswer
@@ -126,7 +131,7 @@
     }
     val result = AttemptResult.Failed(event.failure, event.load, attribution)
     val counted = CallCounter.AttemptFailed(call.matched.service.id, event.failure)
-    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result)))
+    return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result, now)))
         .emit(CallEffect.Count(counted))
         .then { if (event.failure.isCrash()) it.crashed(call, now) else CallsDecision(it) }
         .update { it.noteFailure(event) }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -3,10 +3,13 @@
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.core.membership.QuarantineNotice
+import org.wisteriahinge.core.membership.RetainedAnswer
+import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.Target
+import org.wisteriahinge.core.once.OnceEvent
 
 /**
  * One attempt of a call at one target. [number] starts at 1.
@@ -44,6 +47,16 @@
     /** The call ended; its front end needs no further effect. */
     public data class Finished(override val callId: CallId) : ForCall
 
+    /** Pass the answer of an earlier copy of the request to the caller; the call ends. */
+    public data class DeliverRetained(override val callId: CallId, val answer: RetainedAnswer) :
+        ForCall
+
+    /** Ask the `once` duty for the idempotency key of a call, which waits for the settlement. */
+    public data class Claim(val request: OnceEvent.Requested) : CallEffect
+
+    /** Tell the `once` duty how a call that asked for a claim ended. */
+    public data class EndClaim(val ended: OnceEvent.Ended) : CallEffect
+
     /** Tell all peers at once that these requests crashed servers. */
     public data class ReportQuarantine(val notices: PersistentList<QuarantineNotice>) : CallEffect
 
@@ -51,6 +64,12 @@
     public data class SummarizeQuarantine(val notices: PersistentList<QuarantineNotice>) :
         CallEffect
 
+    /** Ask [target] for its load, outside any call. */
+    public data class Probe(val target: Target) : CallEffect
+
+    /** What the next heartbeats tell of targets; replaces what they told before. */
+    public data class TellLoads(val loads: PersistentList<TargetLoad>) : CallEffect
+
     /** Add one to a metric. */
     public data class Count(val counter: CallCounter) : CallEffect
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -13,6 +13,9 @@
     /** Refuses what cannot be served in time before anything is claimed for it. */
     public data object Headroom : CallStage("headroom")
 
+    /** Claims the idempotency key of work that may not be repeated. */
+    public data object Claim : CallStage("claim")
+
     /** Queues calls until a place at the targets is free. */
     public data object Admission : CallStage("admission")
 }
@@ -24,7 +27,12 @@
  * holds no place at the targets while it waits.
  */
 internal val callStages: PersistentList<CallStage> by lazy {
-    persistentListOf(CallStage.Quarantine, CallStage.Headroom, CallStage.Admission)
+    persistentListOf(
+        CallStage.Quarantine,
+        CallStage.Headroom,
+        CallStage.Claim,
+        CallStage.Admission
+    )
 }
 
 /** What a stage decides about a call. [decision] holds the state that the stage reached. */
