--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
@@ -3,9 +3,10 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.application.call
+import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
+import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.routing
@@ -14,74 +15,74 @@
 import java.io.ByteArrayOutputStream
 import java.io.Closeable
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import org.wisteriahinge.core.configuration.ConfigurationStanding
-import org.wisteriahinge.core.configuration.ConfigurationStatus
+import kotlinx.serialization.json.Json
 
-/** Where operators and the platform look at an instance. */
-public data class AdminSettings(val host: String, val port: Int)
-
-/** Reads the status of the configuration; may be called from any thread. */
-public fun interface ConfigurationView {
-    public fun status(): ConfigurationStatus
-}
-
-/**
- * Serves `/live`, `/ready`, `/metrics` and `/status` on an address of its own.
- *
- * `/ready` is 503 without any configuration. An unconfirmed one stays ready and its body says so,
- * because refusing by all instances would stop every caller while the log is down.
- */
+/** Serves `/live`, `/ready`, `/metrics` and `/status` to operators and the platform. */
 public class AdminServer(
-    settings: AdminSettings,
-    private val registry: PrometheusRegistry,
-    private val configuration: ConfigurationView
+    address: AdminAddress,
+    private val view: AdminView,
+    private val registry: PrometheusRegistry
 ) : Closeable {
-    private val server = embeddedServer(Netty, port = settings.port, host = settings.host) {
+    private val metricsWriter = PrometheusTextFormatWriter.builder().build()
+    private val server = embeddedServer(
+        Netty,
+        configure = {
+            connector {
+                host = address.host
+                port = address.port
+            }
+            workerGroupSize = 1
+            callGroupSize = 1
+            connectionGroupSize = 1
+        }
+    ) {
         routing {
             get("/live") { call.respondText("live\n") }
             get("/ready") { ready(call) }
-            get("/status") { status(call) }
             get("/metrics") { metrics(call) }
+            get("/status") { status(call) }
         }
     }
 
-    /** Starts listening and returns the port in use. */
+    /**
+     * Starts listening and returns the port in use.
+     *
+     * @throws java.net.BindException if the address is in use.
+     */
     public fun start(): Int {
         server.start(wait = false)
         return runBlocking { server.engine.resolvedConnectors().first().port }
     }
 
     private suspend fun ready(call: ApplicationCall) {
-        val standing = configuration.status().standing
-        val status = when (standing) {
-            ConfigurationStanding.Absent -> HttpStatusCode.ServiceUnavailable
-            ConfigurationStanding.Confirmed, ConfigurationStanding.Unconfirmed -> HttpStatusCode.OK
-        }
-        call.respondText("configuration: ${standing.wireName}\n", status = status)
-    }
-
-    private suspend fun status(call: ApplicationCall) {
-        val current = configuration.status()
-        val json = buildJsonObject {
-            put("configuration", current.standing.wireName)
-            put("revision", current.revision.value)
-            put("newest_known_revision", current.newestKnown.value)
-        }
-        call.respondText("$json\n", ContentType.Application.Json)
+        val readiness = view.readiness()
+        val document = ReadinessDocument(
+            readiness.isReady,
+            readiness.reason,
+            view.status().configuration
+        )
+        call.respondText(
+            Json.encodeToString(document) + "\n",
+            ContentType.Application.Json,
+            if (readiness.isReady) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+        )
     }
 
     private suspend fun metrics(call: ApplicationCall) {
         val text = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(text, registry.scrape())
-        call.respondText(
-            text.toString(Charsets.UTF_8),
-            ContentType.parse(PrometheusTextFormatWriter.CONTENT_TYPE)
-        )
+        metricsWriter.write(text, registry.scrape())
+        call.respondBytes(text.toByteArray(), ContentType.parse(metricsWriter.contentType))
+    }
+
+    private suspend fun status(call: ApplicationCall) {
+        val json = Json.encodeToString(view.status()) + "\n"
+        call.respondText(json, ContentType.Application.Json)
     }
 
     override fun close() {
         server.stop(gracePeriodMillis = 0, timeoutMillis = 500)
     }
 }
+
+/** Where the admin server listens. */
+public data class AdminAddress(val host: String, val port: Int)
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/admin/AdminServerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/admin/AdminServerTest.kt
@@ -9,6 +9,8 @@
 import org.wisteriahinge.adapters.metrics.ConfigurationMetrics
 import org.wisteriahinge.core.configuration.ConfigurationStanding
 import org.wisteriahinge.core.configuration.ConfigurationStatus
+import org.wisteriahinge.core.lifecycle.LifecyclePhase
+import org.wisteriahinge.core.lifecycle.Readiness
 import org.wisteriahinge.core.model.RevisionNumber
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -27,10 +29,27 @@
         val registry = PrometheusRegistry()
         val status = ConfigurationStatus(RevisionNumber(7), RevisionNumber(8), standing)
         ConfigurationMetrics(registry).report(status)
-        return AdminServer(AdminSettings("127.0.0.1", 0), registry) { status }
+        return AdminServer(AdminAddress("127.0.0.1", 0), FixedView(status), registry)
             .use { use(it.start()) }
     }
 
+    /** A serving instance with [configuration]. */
+    private class FixedView(private val configuration: ConfigurationStatus) : AdminView {
+        override fun readiness() = Readiness.of(LifecyclePhase.Serving, configuration)
+
+        override fun status() = StatusDocument(
+            instance = "a#1",
+            zone = "zone-a",
+            phase = LifecyclePhase.Serving.chartName,
+            configuration = configuration.standing.wireName,
+            revision = configuration.revision.value,
+            newestKnownRevision = configuration.newestKnown.value,
+            callsInProgress = 0,
+            callsRingWaiting = 0,
+            callsRingCapacity = 1
+        )
+    }
+
     @Test
     fun `without configuration an instance is live and not ready`() {
         serving(ConfigurationStanding.Absent) { port ->
@@ -44,7 +63,7 @@
         serving(ConfigurationStanding.Unconfirmed) { port ->
             val ready = get(port, "/ready")
             expectThat(ready.statusCode()).isEqualTo(200)
-            expectThat(ready.body()).contains("configuration: unconfirmed")
+            expectThat(ready.body()).contains("\"configuration\":\"unconfirmed\"")
             expectThat(get(port, "/status").body())
                 .contains("\"configuration\":\"unconfirmed\"").contains("\"revision\":7")
             expectThat(get(port, "/metrics").body())
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -1,7 +1,7 @@
 package org.wisteriahinge.app
 
 import java.time.Duration
-import org.wisteriahinge.adapters.admin.AdminSettings
+import org.wisteriahinge.adapters.caller.BodyLimits
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
@@ -15,14 +15,26 @@
     public val credentialKey: String,
     public val seed: Long,
     public val log: LogSettings = LogSettings(),
-    public val defaultTimeout: Duration = Duration.ofSeconds(10),
-    public val maxTimeout: Duration = Duration.ofMinutes(10),
-    public val maxConnectionsPerTarget: Int = 13,
     /** Null for an instance without peers. */
     public val peers: PeerSettings? = null,
     public val once: OnceSettings = OnceSettings(),
-    /** Null for an instance without an admin address. */
-    public val admin: AdminSettings? = null
+    public val calls: CallSettings = CallSettings(),
+    public val process: ProcessSettings = ProcessSettings()
+)
+
+/** Bounds of the time, the bodies and the connections of calls. */
+public data class CallSettings(
+    val defaultTimeout: Duration = Duration.ofSeconds(10),
+    val maxTimeout: Duration = Duration.ofMinutes(10),
+    val maxConnectionsPerTarget: Int = 13,
+    val body: BodyLimits = BodyLimits()
+)
+
+/** Where operators reach the instance, and how long calls in progress have after SIGTERM. */
+public data class ProcessSettings(
+    val adminHost: String = "127.0.0.1",
+    val adminPort: Int = 0,
+    val drainTime: Duration = Duration.ofSeconds(20)
 )
 
 /** How an instance uses the log. [timeout] is for one operation. */
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.app.command
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.io.IOException
 import java.time.Clock
 import kotlinx.cli.ExperimentalCli
@@ -8,6 +9,8 @@
 import org.wisteriahinge.app.settings.Settings
 import org.wisteriahinge.app.settings.toInstanceSettings
 
+private val logger = KotlinLogging.logger {}
+
 @OptIn(ExperimentalCli::class)
 internal class RunCommand(context: CommandContext) :
     Command("run", "Run an instance until SIGTERM", context, Settings.ofInstance) {
@@ -15,15 +18,24 @@
         val settings = values.toInstanceSettings(seed = ProcessHandle.current().pid())
         val instance = Instance(settings, Clock.systemUTC())
         try {
-            instance.start()
-            Runtime.getRuntime().addShutdownHook(Thread(instance::close, "shutdown"))
+            val ports = instance.start()
+            logger.info { "serving callers on port ${ports.caller}, admin on ${ports.admin}" }
+            Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
             ExitCode.DONE
         } catch (e: IOException) {
-            instance.close()
             failed(
-                "cannot listen on one of caller, admin and peer address " +
-                    "(${e.message}); choose free ports"
+                "cannot listen on ${settings.callerHost}:${settings.callerPort} or " +
+                    "${settings.process.adminHost}:${settings.process.adminPort} " +
+                    "(${e.message}); choose free addresses"
             )
         }
     }
+
+    private fun stop(instance: Instance) {
+        instance.drain()
+        instance.close()
+        logger.info { "stopped" }
+        // The JVM would exit with 143 after SIGTERM, which supervisors take for a failure.
+        Runtime.getRuntime().halt(0)
+    }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -1,10 +1,11 @@
 package org.wisteriahinge.app.settings
 
 import java.time.Duration
-import org.wisteriahinge.adapters.admin.AdminSettings
+import org.wisteriahinge.app.CallSettings
 import org.wisteriahinge.app.InstanceSettings
 import org.wisteriahinge.app.LogSettings
 import org.wisteriahinge.app.PeerSettings
+import org.wisteriahinge.app.ProcessSettings
 import org.wisteriahinge.core.configuration.ConfigurationTiming
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
@@ -23,15 +24,21 @@
             retention = Duration.ofSeconds(long(Settings.logRetentionSeconds))
         )
     ),
-    defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
-    maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
-    maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
+    calls = CallSettings(
+        defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
+        maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
+        maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget)
+    ),
+    process = ProcessSettings(
+        adminHost = get(Settings.adminHost),
+        adminPort = int(Settings.adminPort),
+        drainTime = Duration.ofSeconds(long(Settings.drainSeconds))
+    ),
     peers = toPeerSettings(),
     once = OnceSettings(
         window = Duration.ofSeconds(long(Settings.onceWindowSeconds)),
         appendsPerSecond = int(Settings.onceAppendsPerSecond)
-    ),
-    admin = AdminSettings(get(Settings.adminHost), int(Settings.adminPort))
+    )
 )
 
 private fun SettingValues.toPeerSettings(): PeerSettings? =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -43,6 +43,12 @@
     val adminHost =
         SettingSpec("admin-host", SettingKind.Host, "127.0.0.1", "Address for operators")
     val adminPort = port("admin-port", "8081", "Port for operators, 0 for any free one")
+    val drainSeconds = SettingSpec(
+        "drain-time-s",
+        SettingKind.Whole("s", 0, 3_600),
+        "20",
+        "Time that calls in progress have after SIGTERM"
+    )
     val peerHost =
         SettingSpec("peer-host", SettingKind.Host, "127.0.0.1", "Address for other instances")
     val peerPort = port("peer-port", "8082", "Port for other instances, 0 for any free one")
@@ -116,6 +122,7 @@
         callerPort,
         adminHost,
         adminPort,
+        drainSeconds,
         peerHost,
         peerPort,
         instanceListUrl,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -28,6 +28,7 @@
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
         name == "demo" -> Demo().use { it.run() }
         name == CAPACITY -> println(runCapacity(seed.toLong()))
+        name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInTarget.kt
@@ -42,6 +42,9 @@
     /** Requests that this target ran. */
     public val servedCount: Int get() = served.get()
 
+    /** Requests that are being served now. */
+    public val inFlightCount: Int get() = inFlight.get()
+
     /** Load probes that this target answered. */
     public val probedCount: Int get() = probed.get()
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -7,6 +7,7 @@
 import org.wisteriahinge.core.availability.availabilityChart
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
+import org.wisteriahinge.core.lifecycle.lifecycleChart
 import org.wisteriahinge.core.membership.peerChart
 
 /** Every chart that the decisions interpret. */
@@ -21,6 +22,7 @@
         attemptChart,
         availabilityChart,
         configurationChart,
+        lifecycleChart,
         peerChart
     )
 }
