Keep a running instance's process alive until it is stopped

Cause: all threads of an instance are daemon threads, so the process ended right after its start; found by starting the binary. Change: the run command waits until the lifecycle releases the process. Checked with the binary: it stays up, /ready answers 503 no_configuration, a second start on the same admin port prints one line and exits with 1, and SIGTERM exits with 0.

--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -240,6 +240,11 @@
         lifecycle.drain(settings.process.drainTime + STOP_TIMEOUT)
     }
 
+    /** Waits for a stop; the instance's own threads do not keep the process alive. */
+    public fun awaitStopped() {
+        lifecycle.awaitStopped()
+    }
+
     override fun close() {
         server.close()
         once.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
@@ -21,6 +21,7 @@
             val ports = instance.start()
             logger.info { "serving callers on port ${ports.caller}, admin on ${ports.admin}" }
             Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
+            instance.awaitStopped()
             ExitCode.DONE
         } catch (e: IOException) {
             failed(
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/LifecycleDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/LifecycleDuty.kt
@@ -41,6 +41,11 @@
         released.await(timeout.toMillis(), TimeUnit.MILLISECONDS)
     }
 
+    /** Waits until the process may exit. */
+    public fun awaitStopped() {
+        released.await()
+    }
+
     override fun runOnce() {
         val event = inbox.take(COUNT_PERIOD) ?: LifecycleEvent.CallsCounted(callsInProgress())
         val decision = state.decide(event, clock.instant())
