--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
@@ -18,7 +18,7 @@
 ): CallsState {
     val routing = RoutingState(decided.policy, zoneOf(index, zones), seed * instances + index)
     val members = CallEvent.MembersChanged(instanceId(index), instanceIds())
-    return CallsState(Configuration.Empty, routing, retries = decided.retries())
+    return CallsState(Configuration.Empty, routing, retries = decided.policy.retries())
         .decide(CallEvent.Configured(configuration(1)), Instant.EPOCH).state
         .decide(members, Instant.EPOCH).state
 }
