--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -2,6 +2,7 @@
 
 import java.time.Duration
 import java.time.Instant
+import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.WorkClass
 import org.wisteriahinge.core.quarantine.isSuspected
 import org.wisteriahinge.core.retry.Hedging
@@ -35,8 +36,7 @@
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
-        // A hedge would take the place of a call that waits.
-        service in admission.queued -> RetryDenial.CallsWaiting
+        shortCallsWait(service) -> RetryDenial.CallsWaiting
         spent == null -> RetryDenial.BudgetSpent
         choice !is RouteChoice.Chosen -> RetryDenial.NoOtherTarget
         else -> return CallsDecision(copy(retries = spent))
@@ -46,3 +46,7 @@
     return CallsDecision(withCall(considered))
         .emit(CallEffect.Count(CallCounter.HedgeDenied(service, denial)))
 }
+
+/** Whether a hedge would take the place of a waiting call; long calls wait for other slots. */
+private fun CallsState.shortCallsWait(service: ServiceId): Boolean =
+    (admission.services[service]?.short?.queue?.size ?: 0) > 0
