--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/LimitsService.kt
@@ -0,0 +1,107 @@
+package org.wisteriahinge.app
+
+import com.github.michaelbull.result.mapBoth
+import java.io.Closeable
+import java.time.Clock
+import java.time.Duration
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.adapters.log.ShareCodec
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.limits.Demand
+import org.wisteriahinge.core.limits.LimitsEffect
+import org.wisteriahinge.core.limits.LimitsEvent
+import org.wisteriahinge.core.limits.LimitsSettings
+import org.wisteriahinge.core.limits.LimitsState
+import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.once.AppendOutcome
+import org.wisteriahinge.runtime.AppendRequest
+import org.wisteriahinge.runtime.CallMessage
+import org.wisteriahinge.runtime.LimitsDuty
+import org.wisteriahinge.runtime.LogStream
+import org.wisteriahinge.runtime.LogTailDuty
+import org.wisteriahinge.runtime.PlatformLog
+import org.wisteriahinge.runtime.RestartDetectingLog
+import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.TailEvent
+import org.wisteriahinge.runtime.offerWaiting
+import org.wisteriahinge.runtime.submit
+
+private const val RING_CAPACITY = 1_024
+
+/** Ends of appends use these places; one append is in flight at a time. */
+private const val RESERVED = 8
+private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
+
+/** Time for the record that returns the shares; without it they end with their term. */
+private const val RETURN_MILLIS = 300L
+
+/** The duties of plan limits and their connections to the log and to `calls`. */
+internal class LimitsService(
+    instance: InstanceId,
+    settings: LimitsSettings,
+    log: PlatformLog,
+    private val appends: Ring<AppendRequest>,
+    private val calls: Ring<CallMessage>,
+    clock: Clock
+) : Closeable {
+    private val ring = Ring<LimitsEvent>("limits", RING_CAPACITY, RESERVED)
+    private val duty = LimitsDuty(ring, LimitsState(instance, settings), ::perform, clock)
+    private val tail =
+        LogTailDuty(LogStream.Shares, RestartDetectingLog(log), start = null, ::read)
+
+    fun start() {
+        duty.start()
+        tail.start()
+    }
+
+    /** A report of the demand; dropped when the ring is full, because the next one replaces it. */
+    fun demanded(demands: PersistentMap<CustomerId, Demand>) {
+        ring.offer(LimitsEvent.Demanded(demands))
+    }
+
+    private fun perform(effect: LimitsEffect) {
+        when (effect) {
+            is LimitsEffect.Append -> append(effect)
+            is LimitsEffect.Announce ->
+                calls.offerWaiting(CallMessage(CallEvent.SharesChanged(effect.shares)))
+        }
+    }
+
+    private fun append(effect: LimitsEffect.Append) {
+        val id = effect.batch.appendId
+        val record = persistentListOf(ShareCodec.encode(effect.batch))
+        appends.submit(
+            AppendRequest(LogStream.Shares, id, record) { result ->
+                val outcome = result.mapBoth(
+                    success = { AppendOutcome.Appended },
+                    failure = { AppendOutcome.Unknown }
+                )
+                ring.offerReserved(LimitsEvent.AppendSettled(id, outcome))
+            }
+        )
+    }
+
+    private fun read(event: TailEvent) {
+        when (event) {
+            is TailEvent.Bounded -> ring.offerWaiting(
+                LimitsEvent.Bounded(event.bounds.earliest, event.bounds.next)
+            )
+            is TailEvent.Gap -> ring.offerWaiting(LimitsEvent.Gap(event.earliest))
+            is TailEvent.Read -> if (event.records.isNotEmpty()) {
+                val batches = event.records.map(ShareCodec::decode).toPersistentList()
+                ring.offerWaiting(LimitsEvent.Read(batches))
+            }
+            is TailEvent.Failed -> Unit
+        }
+    }
+
+    override fun close() {
+        ring.offer(LimitsEvent.Stopping)
+        Thread.sleep(RETURN_MILLIS)
+        tail.stop(STOP_TIMEOUT)
+        duty.stop(STOP_TIMEOUT)
+    }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -6,6 +6,7 @@
 import org.wisteriahinge.charts.InvalidChartException
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
+import org.wisteriahinge.core.limits.leaseChart
 import org.wisteriahinge.core.membership.peerChart
 
 /** Every chart that the decisions interpret. */
@@ -17,5 +18,5 @@
      * so that a broken file stops the process before it serves callers.
      */
     public fun loadAll(): PersistentList<Chart<*, *, *>> =
-        persistentListOf(attemptChart, configurationChart, peerChart)
+        persistentListOf(attemptChart, configurationChart, leaseChart, peerChart)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -2,10 +2,13 @@
 
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import org.wisteriahinge.core.limits.Demand
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.once.OnceEvent
@@ -63,6 +66,9 @@
     public data class SummarizeQuarantine(val notices: PersistentList<QuarantineNotice>) :
         CallEffect
 
+    /** Tell the `limits` duty what the customers could use. */
+    public data class ReportDemand(val demands: PersistentMap<CustomerId, Demand>) : CallEffect
+
     /** Add one to a metric. */
     public data class Count(val counter: CallCounter) : CallEffect
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.call
 
 import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.AttemptId
@@ -60,6 +61,9 @@
         val notices: PersistentList<QuarantineNotice>
     ) : CallEvent
 
+    /** The `limits` duty announced the shares that may be used from now on. */
+    public data class SharesChanged(val shares: UsableShares) : CallEvent
+
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -10,6 +10,9 @@
     /** Stops requests that crashed servers. */
     public data object Quarantine : CallStage("quarantine")
 
+    /** Takes the call out of its customer's share of the plan. */
+    public data object Limits : CallStage("limits")
+
     /** Refuses what cannot be served in time before anything is claimed for it. */
     public data object Headroom : CallStage("headroom")
 
@@ -29,6 +32,7 @@
 internal val callStages: PersistentList<CallStage> by lazy {
     persistentListOf(
         CallStage.Quarantine,
+        CallStage.Limits,
         CallStage.Headroom,
         CallStage.Claim,
         CallStage.Admission
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
@@ -53,6 +53,7 @@
         CallStage.Quarantine -> enterQuarantine(call, now)
         CallStage.Headroom -> enterHeadroom(call, now)
         CallStage.Claim -> enterClaim(call)
+        CallStage.Limits -> enterLimits(call, now)
         CallStage.Admission -> enterAdmission(call, now)
     }
 
@@ -65,5 +66,6 @@
     CallStage.Quarantine -> leaveQuarantine(call, end, now)
     CallStage.Headroom -> CallsDecision(this)
     CallStage.Claim -> leaveClaim(call, end)
+    CallStage.Limits -> leaveLimits(call)
     CallStage.Admission -> leaveAdmission(call, end, now)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -30,6 +30,7 @@
     is CallEvent.Configured -> configured(event.configuration)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
     is CallEvent.ClaimSettled -> claimSettled(event, now)
+    is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
     is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     CallEvent.Ticked -> ticked(now)
 }
@@ -59,6 +60,7 @@
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
     .then { it.startHedges(now) }
+    .then { it.reportDemand(now) }
 
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.admission.AdmissionState
+import org.wisteriahinge.core.limits.CallLimits
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
@@ -27,7 +28,7 @@
  *
  * [attemptsStarted] counts all attempts, ended ones included; [tried] are their targets.
  * [mayHaveRun] is set once an ended attempt may have run. [waitingAt] is the stage that suspended
- * the call.
+ * the call. [holdsPlace] is set while it counts against its plan's concurrent calls.
  */
 public data class CallInProgress(
     val request: CallRequest,
@@ -39,7 +40,8 @@
     val mayHaveRun: Boolean = false,
     val waitingAt: CallStage? = null,
     val hedgeConsidered: Boolean = false,
-    val claim: CallClaim = CallClaim.None
+    val claim: CallClaim = CallClaim.None,
+    val holdsPlace: Boolean = false
 )
 
 /** All that the decisions on calls depend on. Owned by the `calls` duty. */
@@ -49,6 +51,7 @@
     val calls: PersistentMap<CallId, CallInProgress> = persistentHashMapOf(),
     val lastAttemptId: Long = 0,
     val retries: RetryState = RetryState(),
+    val limits: CallLimits = CallLimits(),
     val quarantine: QuarantineState = QuarantineState(),
     val admission: AdmissionState = AdmissionState()
 ) {
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/LimitStage.kt
@@ -0,0 +1,86 @@
+package org.wisteriahinge.core.call
+
+import java.time.Instant
+import org.wisteriahinge.core.limits.CustomerUse
+import org.wisteriahinge.core.limits.DEMAND_PERIOD
+import org.wisteriahinge.core.limits.LimitScope
+import org.wisteriahinge.core.limits.LimitVerdict
+import org.wisteriahinge.core.limits.demands
+import org.wisteriahinge.core.limits.take
+import org.wisteriahinge.core.model.Allowance
+import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RefusalReason
+
+/** Takes the call out of its customer's share of the plan, or refuses it. */
+internal fun CallsState.enterLimits(call: CallInProgress, now: Instant): StageOutcome {
+    val customer = call.caller.customer.id
+    val bytes = call.request.bodyBytes ?: return StageOutcome.Refused(
+        CallsDecision(this),
+        Refusal(RefusalReason.LengthRequired, Execution.NotRun)
+    )
+    return when (val verdict = limits.take(customer, call.caller.plan.allowance, bytes, now)) {
+        is LimitVerdict.Admitted -> StageOutcome.Passed(
+            CallsDecision(withUse(customer, verdict.use).withCall(call.copy(holdsPlace = true)))
+        )
+        is LimitVerdict.Refused -> StageOutcome.Refused(
+            CallsDecision(withUse(customer, verdict.use)),
+            Refusal(verdict.reason, Execution.NotRun, limits.settings.retryAfter)
+        )
+    }
+}
+
+/** The call no longer counts as one of its customer's concurrent calls. */
+internal fun CallsState.leaveLimits(call: CallInProgress): CallsDecision {
+    val customer = call.caller.customer.id
+    val use = limits.use[customer]
+    if (!call.holdsPlace || use == null) return CallsDecision(this)
+    return CallsDecision(withUse(customer, use.copy(inProgress = use.inProgress - 1)))
+}
+
+private fun CallsState.withUse(customer: CustomerId, use: CustomerUse): CallsState =
+    copy(limits = limits.copy(use = limits.use.put(customer, use)))
+
+/**
+ * Takes over the shares that may be used from now on.
+ *
+ * Buckets are filled first at the shares held so far and cut to the new ones, so that a share that
+ * moves carries no tokens along. A customer's bucket begins to fill when its share arrives.
+ */
+internal fun CallsState.sharesChanged(event: CallEvent.SharesChanged, now: Instant): CallsState {
+    val before = refilled(limits.use.keys, now)
+    val scope = LimitScope.Leased(event.shares)
+    return before.copy(limits = before.limits.copy(scope = scope))
+        .refilled(limits.use.keys + event.shares.leased.keys, now)
+}
+
+private fun CallsState.refilled(customers: Set<CustomerId>, now: Instant): CallsState {
+    val allowances = allowances()
+    return customers.fold(this) { state, customer ->
+        allowances[customer]
+            ?.let { state.withUse(customer, state.limits.filled(customer, it, now)) }
+            ?: state
+    }
+}
+
+private fun CallsState.allowances(): Map<CustomerId, Allowance> =
+    configuration.customers.byId.values.mapNotNull { customer ->
+        configuration.entitlements.plans[customer.plan]?.let { customer.id to it.allowance }
+    }.toMap()
+
+/** Reports what the customers could use, once in each period; a lone instance has no need to. */
+internal fun CallsState.reportDemand(now: Instant): CallsDecision {
+    val first = limits.reportedAt == Instant.MIN
+    val due = first || now >= limits.reportedAt.plus(DEMAND_PERIOD)
+    return when (limits.scope) {
+        is LimitScope.WholePlan -> CallsDecision(this)
+        is LimitScope.Leased -> if (due) report(first, now) else CallsDecision(this)
+    }
+}
+
+private fun CallsState.report(first: Boolean, now: Instant): CallsDecision {
+    val since = if (first) limits.copy(reportedAt = now.minus(DEMAND_PERIOD)) else limits
+    val (counted, demands) = since.demands(allowances(), now)
+    return CallsDecision(copy(limits = counted)).emit(CallEffect.ReportDemand(demands))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsAppends.kt
@@ -0,0 +1,107 @@
+package org.wisteriahinge.core.limits
+
+import java.time.Instant
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.model.CustomerId
+
+/** A change of the wish by less than this is not worth a record, in thousandths. */
+private const val SMALL_CHANGE = 20
+
+/** Asks for what the demand needs, renews before the term ends and gives back what is spare. */
+internal fun LimitsState.appendIfDue(now: Instant): LimitsDecision {
+    val mayAppend = isCaughtUp && inFlight == null && now >= lastAppendAt.plus(settings.minInterval)
+    if (!mayAppend) return LimitsDecision(this)
+    val customers = (demands.keys + leases.keys).sortedBy { it.value }
+    val shares = customers.mapNotNull { wish(it, now) }
+    val slotWish = slotEntry(now)
+    val entries = shares + listOfNotNull(slotWish)
+    if (entries.isEmpty()) return LimitsDecision(this)
+    val batch = ShareBatch(
+        appendId = "$instance-shares-${lastSequence + 1}",
+        instance = instance,
+        sequence = lastSequence + 1,
+        at = now,
+        readOffset = ledger.nextOffset,
+        until = now.plus(settings.term),
+        slotUntil = now.plus(settings.slotTerm),
+        entries = entries.toPersistentList()
+    )
+    val asked = shares.fold(this) { state, share -> state.asked(share, batch.sequence) }
+    return LimitsDecision(
+        asked.copy(
+            inFlight = batch.appendId,
+            lastSequence = batch.sequence,
+            lastAppendAt = now,
+            lastSlotAppendAt = if (slotWish == null) lastSlotAppendAt else now,
+            slot = if (stopping) null else slot
+        )
+    ).emit(LimitsEffect.Append(batch))
+}
+
+private fun LimitsState.asked(share: ShareEntry.Share, sequence: Long): LimitsState {
+    val lease = leases[share.customer] ?: Lease()
+    val next = lease.copy(asked = share.want, askedSequence = sequence)
+    return step(share.customer, next, LeaseTrigger.Asked)
+        .let { it.step(share.customer, it.leases.getValue(share.customer), LeaseTrigger.Lowered) }
+}
+
+private fun LimitsState.wish(customer: CustomerId, now: Instant): ShareEntry.Share? {
+    val lease = leases[customer]
+    val demand = if (stopping) Demand.None else demands[customer] ?: Demand.None
+    val want = wanted(customer, demand, now)
+    val known = lease?.asked ?: Grants.None
+    val changed = isWorthAsking(known, want)
+    val renewing = lease?.state == LeaseState.Held && want != Grants.None &&
+        lease.until.minus(settings.term).plus(settings.renewEvery) <= now
+    // A wish that fell short is repeated, because others may have returned shares since.
+    val short = lease != null && !want.atMost(lease.usable).covers(want)
+    return if (changed || renewing ||
+        short
+    ) {
+        ShareEntry.Share(customer, want, demand.needed)
+    } else {
+        null
+    }
+}
+
+private fun Grants.covers(other: Grants): Boolean =
+    calls >= other.calls && concurrency >= other.concurrency && bytes >= other.bytes
+
+private fun isWorthAsking(known: Grants, want: Grants): Boolean {
+    val difference = known.with(want) { a, b -> Math.abs(a - b) }
+    val largest = maxOf(difference.calls, difference.concurrency, difference.bytes)
+    return largest >= SMALL_CHANGE || (want == Grants.None && known != Grants.None)
+}
+
+/**
+ * The need, or a part in proportion to all needs when they exceed the leased part.
+ *
+ * The baseline is added only while no other instance lacks anything, so that one instance can use
+ * the whole leased part.
+ */
+private fun LimitsState.wanted(customer: CustomerId, demand: Demand, now: Instant): Grants {
+    val others = ledger.demandOfOthers(customer, instance, now)
+    val lacking = ledger.lackOfOthers(customer, instance, now)
+    val free = Grants.Leased.minus(ledger.heldByOthers(customer, instance, now))
+    val fair = demand.needed.with(others) { own, rest ->
+        if (own + rest <= LEASED_UNITS) own else LEASED_UNITS * own / (own + rest)
+    }
+    val baseline = demand.baseline.with(lacking) { own, lack -> if (lack > 0) 0 else own }
+    return fair.with(baseline, ::maxOf).atMost(free)
+}
+
+/**
+ * Acquires a static slot, renews it at a quarter of its term, or frees it when stopping.
+ *
+ * A slot outlasts long outages of the log, so its term is long; an instance that crashed keeps its
+ * slot for the rest of the term, and an extra instance without a free slot has no static share.
+ */
+private fun LimitsState.slotEntry(now: Instant): ShareEntry? {
+    val held = ledger.slotOf(instance)
+    if (stopping) return held?.let { ShareEntry.FreeSlot }
+    val due = lastSlotAppendAt.plus(settings.slotTerm.dividedBy(4)) <= now
+    val retry = slot == null && lastSlotAppendAt.plus(settings.renewEvery) <= now
+    if (!due && !retry) return null
+    val wanted = held?.key ?: ledger.freeSlotAt(now) ?: return null
+    return ShareEntry.Slot(wanted)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
@@ -0,0 +1,149 @@
+package org.wisteriahinge.core.limits
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.InstanceId
+
+/**
+ * What an instance holds of one allowance.
+ *
+ * A reader that has not read all records knows only bounds: the holder was granted at least
+ * [least] and at most [most].
+ */
+public data class Holding(
+    val least: Grants,
+    val most: Grants,
+    val demand: Grants,
+    val until: Instant,
+    val sequence: Long
+)
+
+/** The holder of a static slot. */
+public data class SlotHolding(val instance: InstanceId, val until: Instant, val sequence: Long)
+
+/**
+ * Who holds which shares, as the records of the stream `shares` below [nextOffset] decide it.
+ *
+ * Expiry is judged by the time in each record and not by the reader's clock, so that all readers
+ * decide equally. Holdings in lost records have all ended in records written after [lostUntil];
+ * slots after [slotsLostUntil].
+ */
+public data class ShareLedger(
+    val settings: LimitsSettings,
+    val nextOffset: Long = 0,
+    val lostBefore: Long = 0,
+    val lostUntil: Instant = Instant.MIN,
+    val slotsLostUntil: Instant = Instant.MIN,
+    val shares: PersistentMap<CustomerId, PersistentMap<InstanceId, Holding>> =
+        persistentHashMapOf(),
+    val slots: PersistentMap<Int, SlotHolding> = persistentHashMapOf()
+) {
+    /** The stream is retained from [earliest] on; what came before it is lost to this reader. */
+    internal fun retainedFrom(earliest: Long, now: Instant): ShareLedger {
+        if (earliest == 0L && nextOffset == 0L) return this
+        // After a restart of the stream the marks of its former records bound nothing.
+        val lost = if (earliest < nextOffset) Long.MAX_VALUE else earliest
+        return copy(nextOffset = earliest, lostBefore = lost)
+            .copy(lostUntil = endOf(now, settings.term))
+            .copy(slotsLostUntil = endOf(now, settings.slotTerm))
+    }
+
+    /** When holdings of [term] that were appended before [time] by another clock have ended. */
+    private fun endOf(time: Instant, term: Duration): Instant =
+        time.plus(term).plus(settings.skewBound.multipliedBy(2))
+
+    internal fun apply(read: ReadShares): ShareLedger {
+        val next = copy(nextOffset = read.offset + 1)
+        val batch = read.batch ?: return next
+        return batch.entries.fold(next.boundedBy(read.offset, batch)) { ledger, entry ->
+            when (entry) {
+                is ShareEntry.Share -> ledger.applyShare(batch, entry)
+                is ShareEntry.Slot -> ledger.applySlot(batch, entry)
+                ShareEntry.FreeSlot -> ledger.freeSlot(batch)
+            }
+        }
+    }
+
+    /** The writer of [batch] had read what this reader lost, so it was appended before. */
+    private fun boundedBy(offset: Long, batch: ShareBatch): ShareLedger =
+        if (batch.readOffset in lostBefore..offset) {
+            copy(
+                lostUntil = minOf(lostUntil, endOf(batch.at, settings.term)),
+                slotsLostUntil = minOf(slotsLostUntil, endOf(batch.at, settings.slotTerm))
+            )
+        } else {
+            this
+        }
+
+    private fun applyShare(batch: ShareBatch, entry: ShareEntry.Share): ShareLedger {
+        val holdings = shares[entry.customer] ?: persistentHashMapOf()
+        val own = holdings[batch.instance]
+        if (own != null && own.sequence >= batch.sequence) return this
+        val others = holdings.remove(batch.instance).filterValues { counts(it.until, batch.at) }
+        val unread = if (batch.at < lostUntil) Grants.Leased else Grants.None
+        val taken = others.values.fold(unread) { sum, it -> sum + it.most }
+        val surelyTaken = others.values.fold(Grants.None) { sum, it -> sum + it.least }
+        val holding = Holding(
+            least = entry.want.atMost(Grants.Leased.minus(taken)),
+            most = entry.want.atMost(Grants.Leased.minus(surelyTaken)),
+            demand = entry.demand,
+            until = batch.until,
+            sequence = batch.sequence
+        )
+        val kept = others.entries.fold(persistentHashMapOf<InstanceId, Holding>()) { all, it ->
+            all.put(it.key, it.value)
+        }
+        return copy(shares = shares.put(entry.customer, kept.put(batch.instance, holding)))
+    }
+
+    private fun applySlot(batch: ShareBatch, entry: ShareEntry.Slot): ShareLedger {
+        val holder = slots[entry.slot]
+        val isOwn = holder?.instance == batch.instance
+        val taken = holder != null && !isOwn && counts(holder.until, batch.at)
+        val outdated = isOwn && holder.sequence >= batch.sequence
+        // A lost record may have given the slot to another instance, so it is not granted.
+        val unknown = holder == null && batch.at < slotsLostUntil
+        if (taken || outdated || unknown) return this
+        val holding = SlotHolding(batch.instance, batch.slotUntil, batch.sequence)
+        return copy(slots = slots.put(entry.slot, holding))
+    }
+
+    private fun freeSlot(batch: ShareBatch): ShareLedger {
+        val freed = slots.filterValues {
+            it.instance == batch.instance && it.sequence < batch.sequence
+        }
+        return copy(slots = freed.keys.fold(slots) { all, slot -> all.remove(slot) })
+    }
+
+    /** Whether a holding until [until] counts in a record written at [at] by another clock. */
+    private fun counts(until: Instant, at: Instant): Boolean = until.plus(settings.skewBound) > at
+
+    /** What others than [instance] may hold of [customer]'s allowance at [at]. */
+    internal fun heldByOthers(customer: CustomerId, instance: InstanceId, at: Instant): Grants =
+        others(customer, instance, at).fold(Grants.None) { sum, it -> sum + it.most }
+
+    /** What all instances but [instance] could use of [customer]'s allowance. */
+    internal fun demandOfOthers(customer: CustomerId, instance: InstanceId, at: Instant): Grants =
+        others(customer, instance, at).fold(Grants.None) { sum, it -> sum + it.demand }
+
+    /** What all instances but [instance] need of [customer]'s allowance and do not hold. */
+    internal fun lackOfOthers(customer: CustomerId, instance: InstanceId, at: Instant): Grants =
+        others(customer, instance, at)
+            .fold(Grants.None) { sum, it -> sum + it.demand.minus(it.most) }
+
+    private fun others(customer: CustomerId, instance: InstanceId, at: Instant): List<Holding> =
+        shares[customer].orEmpty()
+            .filter { (holder, holding) -> holder != instance && counts(holding.until, at) }
+            .values.toList()
+
+    internal fun slotOf(instance: InstanceId): Map.Entry<Int, SlotHolding>? =
+        slots.entries.firstOrNull { it.value.instance == instance }
+
+    /** The lowest slot that no other instance holds at [at]; null when all are taken. */
+    internal fun freeSlotAt(at: Instant): Int? = (0 until settings.slots).firstOrNull { slot ->
+        slots[slot]?.let { !counts(it.until, at) } ?: true
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/LimitsDuty.kt
@@ -0,0 +1,26 @@
+package org.wisteriahinge.runtime
+
+import java.time.Clock
+import java.time.Duration
+import org.wisteriahinge.core.limits.LimitsEffect
+import org.wisteriahinge.core.limits.LimitsEvent
+import org.wisteriahinge.core.limits.LimitsState
+import org.wisteriahinge.core.limits.decide
+
+/** Terms end and shares are renewed with this precision. */
+private val TICK: Duration = Duration.ofMillis(100)
+
+/** Owns [LimitsState]. */
+public class LimitsDuty(
+    private val inbox: Ring<LimitsEvent>,
+    private var state: LimitsState,
+    private val effects: EffectSink<LimitsEffect>,
+    private val clock: Clock
+) : Duty("limits") {
+    override fun runOnce() {
+        val event = inbox.take(TICK) ?: LimitsEvent.Ticked
+        val decision = state.decide(event, clock.instant())
+        state = decision.state
+        decision.effects.forEach(effects::perform)
+    }
+}
