--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/ShareCodec.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/log/ShareCodec.kt
@@ -37,11 +37,7 @@
 
 /** One customer's share: calls, concurrency and bytes, in thousandths. */
 @Serializable
-internal data class ShareRecord(
-    val customer: String,
-    val want: List<Int>,
-    val demand: List<Int>
-)
+internal data class ShareRecord(val customer: String, val want: List<Int>, val demand: List<Int>)
 
 /** Encodes and decodes records of the stream `shares`. */
 public object ShareCodec {
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -6,9 +6,12 @@
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.adapters.backend.BackendClient
+import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallerServer
+import org.wisteriahinge.adapters.caller.CallerServerParts
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.log.HttpPlatformLog
@@ -16,6 +19,9 @@
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.limits.CallLimits
+import org.wisteriahinge.core.limits.LimitScope
+import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.membership.Members
 import org.wisteriahinge.core.membership.MembershipEvent
 import org.wisteriahinge.core.membership.PeerMessage
@@ -38,7 +44,7 @@
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
-public class Instance(private val settings: InstanceSettings, clock: Clock) :
+public class Instance(private val settings: InstanceSettings, private val clock: Clock) :
     PeerListener,
     Closeable {
     private val registry = PrometheusRegistry()
@@ -71,7 +77,10 @@
         network?.link ?: UnconnectedPeers,
         clock
     )
-    private val backend = BackendClient(settings.maxConnectionsPerTarget)
+    private val limits = network?.let {
+        LimitsService(it.id, settings.limits, log, logRing, callsRing, clock)
+    }
+    private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -79,22 +88,33 @@
             settings.defaultTimeout,
             settings.maxTimeout
         ),
-        CallGateway(callsRing, MAX_CALLS),
-        backend,
-        CredentialHasher(settings.credentialKey.encodeToByteArray()),
-        clock
+        CallerServerParts(
+            gateway = CallGateway(callsRing, MAX_CALLS),
+            backend = backend,
+            hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
+            clock = clock,
+            counters = metrics::count,
+            answerListener = ClaimedAnswers(settings.once.maxAnswerBytes, callsRing)
+        )
     )
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed)
+        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed),
+        limits = CallLimits(settings.limits, initialScope())
     )
 
+    private fun initialScope(): LimitScope = when (settings.peers) {
+        null -> LimitScope.WholePlan(since = clock.instant())
+        else -> LimitScope.Leased(UsableShares(persistentHashMapOf(), slot = null))
+    }
+
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
             is CallEffect.Claim -> once.request(effect.request)
             is CallEffect.EndClaim -> once.end(effect.ended)
+            is CallEffect.ReportDemand -> limits?.demanded(effect.demands)
             is CallEffect.ReportQuarantine ->
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
@@ -139,12 +159,14 @@
         logDuty.start()
         configuration.start()
         once.start()
+        limits?.start()
         network?.start()
         return server.start()
     }
 
     override fun close() {
         server.close()
+        limits?.close()
         once.close()
         network?.close()
         configuration.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -2,6 +2,7 @@
 
 import java.time.Duration
 import org.wisteriahinge.core.configuration.ConfigurationTiming
+import org.wisteriahinge.core.limits.LimitsSettings
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
 
@@ -23,5 +24,6 @@
     public val maxConnectionsPerTarget: Int = 13,
     public val configurationTiming: ConfigurationTiming = ConfigurationTiming(),
     public val peers: PeerSettings? = null,
-    public val once: OnceSettings = OnceSettings()
+    public val once: OnceSettings = OnceSettings(),
+    public val limits: LimitsSettings = LimitsSettings()
 )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Delivery.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Delivery.kt
@@ -6,6 +6,8 @@
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.limits.LimitsEvent
+import org.wisteriahinge.core.limits.ShareBatch
 import org.wisteriahinge.core.membership.PeerMessage
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.InstanceId
@@ -35,6 +37,8 @@
 
     data class Once(override val node: InstanceId, val event: OnceEvent) : ForNode
 
+    data class Limits(override val node: InstanceId, val event: LimitsEvent) : ForNode
+
     data class Peer(override val node: InstanceId, val message: PeerMessage) : ForNode
 
     data class Tick(override val node: InstanceId) : ForNode
@@ -54,6 +58,9 @@
     data class AppendArrives(val from: InstanceId, val batch: ClaimBatch, val answered: Boolean) :
         Delivery
 
+    data class SharesArrive(val from: InstanceId, val batch: ShareBatch, val answered: Boolean) :
+        Delivery
+
     data class RequestArrives(val ref: AttemptRef) : Delivery
 
     data class RunEnds(val ref: AttemptRef) : Delivery
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
@@ -35,6 +35,9 @@
 
 private fun World.callersAct(kind: FuzzKind.OfCallers, random: Random): World = when (kind) {
     FuzzKind.Send -> send(random, newRequest(random, time))
+    FuzzKind.SendMany -> (1..random.nextInt(2, 40)).fold(this) { world, _ ->
+        world.send(random, world.newRequest(random, world.time))
+    }
     FuzzKind.SendOddKey -> send(random, newRequest(random, oddTime(random)))
     FuzzKind.Resend -> requests.pick(random)?.let { send(random, it) } ?: this
     FuzzKind.ResendChanged ->
@@ -51,7 +54,10 @@
 private fun World.logActs(kind: FuzzKind.OfLog, random: Random): World = when (kind) {
     FuzzKind.LogChanges -> copy(logMode = faultyLogModes.random(random))
     FuzzKind.LogRecovers -> copy(logMode = LogMode.Up)
-    FuzzKind.LogExpires -> copy(claims = claims.expire(random.nextInt(1, 20)))
+    FuzzKind.LogExpires -> copy(
+        claims = claims.expire(random.nextInt(1, 20)),
+        shares = shares.expire(random.nextInt(1, 20))
+    )
     FuzzKind.MessagesChange -> copy(messagesFail = !messagesFail)
 }
 
@@ -60,8 +66,7 @@
     FuzzKind.NodeCrashes -> if (nodes.size > MIN_NODES) crashNode(random) else this
     FuzzKind.NodePauses -> pick(random)?.let { update(it.copy(paused = true)) } ?: this
     FuzzKind.NodeResumes -> resume(random)
-    FuzzKind.ClockShifts ->
-        pick(random)?.let { update(it.copy(clockOffset = clockError(random))) } ?: this
+    FuzzKind.ClockShifts -> shiftClock(random)
 }
 
 private fun World.targetsAct(kind: FuzzKind.OfTargets, random: Random): World = when (kind) {
@@ -133,6 +138,13 @@
     return gone(node.id, callId)
 }
 
+private fun World.shiftClock(random: Random): World {
+    val node = pick(random) ?: return this
+    val offset = clockError(random)
+    val gain = maxOf(offset.minus(node.clockOffset), Duration.ZERO)
+    return update(node.copy(clockOffset = offset)).copy(clockGain = clockGain.plus(gain))
+}
+
 private fun World.crashNode(random: Random): World {
     val node = pick(random) ?: return this
     return copy(nodes = nodes.remove(node.id))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzKind.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzKind.kt
@@ -6,6 +6,7 @@
     sealed class OfCallers(name: String, weight: Int) : FuzzKind(name, weight)
 
     data object Send : OfCallers("send", 20)
+    data object SendMany : OfCallers("send_many", 3)
     data object SendOddKey : OfCallers("send_odd_key", 2)
     data object Resend : OfCallers("resend", 24)
     data object ResendChanged : OfCallers("resend_changed", 2)
@@ -45,7 +46,8 @@
     companion object {
         val all: List<FuzzKind>
             get() = listOf(
-                Send, SendOddKey, Resend, ResendChanged, Cancel, Deliver, Advance, AdvanceLong,
+                Send, SendMany, SendOddKey, Resend,
+                ResendChanged, Cancel, Deliver, Advance, AdvanceLong,
                 LogChanges, LogRecovers, LogExpires, MessagesChange, NodeStarts, NodeCrashes,
                 NodePauses, NodeResumes, ClockShifts, TargetChanges, TargetRecovers, TargetCrashes
             )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Oracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Oracle.kt
@@ -1,5 +1,7 @@
 package org.wisteriahinge.bench.fuzz
 
+import java.time.Duration
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
@@ -11,6 +13,10 @@
 import org.wisteriahinge.core.model.IdempotencyKey
 import org.wisteriahinge.core.model.Refusal
 
+/** Windows that begin this many admissions ago or later are checked. */
+private const val WINDOW_ADMISSIONS = 400
+private const val NANOS_PER_SECOND = 1e9
+
 /** A request as its caller sees it; a resend is equal to it. */
 internal data class CallerRequest(
     val key: IdempotencyKey,
@@ -27,12 +33,17 @@
     data class Refused(val refusal: Refusal) : Told
 }
 
+/** A call that an instance admitted at [at]. */
+internal data class Admission(val at: Instant, val bytes: Long)
+
 /** Watches runs and answers, and notes what contradicts the guarantees. */
 internal data class Oracle(
     val requests: PersistentMap<CopyRef, CallerRequest> = persistentHashMapOf(),
     val told: PersistentMap<CopyRef, Told> = persistentHashMapOf(),
     val runs: PersistentMap<IdempotencyKey, Int> = persistentHashMapOf(),
     val ranCopies: PersistentSet<CopyRef> = persistentHashSetOf(),
+    val admissions: PersistentMap<CustomerId, PersistentList<Admission>> =
+        persistentHashMapOf(),
     val violations: PersistentList<String> = persistentListOf()
 ) {
     fun sent(copy: CopyRef, request: CallerRequest): Oracle =
@@ -61,6 +72,28 @@
         }
     }
 
+    /**
+     * Every window that ends now admits at most the burst and the rate for its length.
+     *
+     * An instance whose clock is set forward fills its buckets for the time that was skipped, so
+     * [clockGain], the sum of such steps, counts as time.
+     */
+    fun admitted(customer: CustomerId, admission: Admission, clockGain: Duration): Oracle {
+        val all = (admissions[customer] ?: persistentListOf()).add(admission)
+        val recent = all.takeLast(WINDOW_ADMISSIONS)
+        val bytes = recent.asReversed().runningFold(0L) { sum, it -> sum + it.bytes }.drop(1)
+        val worst = recent.asReversed().withIndex().firstOrNull { (index, first) ->
+            val span = Duration.between(first.at, admission.at).plus(clockGain)
+            val seconds = span.toNanos() / NANOS_PER_SECOND
+            index + 1 > fuzzAllowance.burstCalls + fuzzAllowance.callsPerSecond * seconds + 1e-6 ||
+                bytes[index] > fuzzAllowance.burstBytes + fuzzAllowance.bytesPerSecond * seconds
+        }
+        return copy(admissions = admissions.put(customer, all))
+            .check("admitted at most the plan", worst == null) {
+                "$customer: ${worst!!.index + 1} calls from ${worst.value.at} to ${admission.at}"
+            }
+    }
+
     fun check(name: String, holds: Boolean, detail: () -> String): Oracle =
         if (holds) this else copy(violations = violations.add("$name: ${detail()}"))
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/World.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/World.kt
@@ -10,6 +10,8 @@
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.limits.LimitsState
+import org.wisteriahinge.core.limits.ShareBatch
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.InstanceId
@@ -23,10 +25,12 @@
     val id: InstanceId,
     val calls: CallsState,
     val once: OnceState,
+    val limits: LimitsState,
     val clockOffset: Duration,
     val paused: Boolean = false,
     val backlog: PersistentList<Delivery.ForNode> = persistentListOf(),
     val claimsOffset: Long = 0,
+    val sharesOffset: Long = 0,
     val outstanding: PersistentMap<AttemptId, CallId> = persistentHashMapOf()
 )
 
@@ -53,6 +57,7 @@
     val settings: OnceSettings,
     val nodes: PersistentMap<InstanceId, Node> = persistentHashMapOf(),
     val claims: FakeStream<ClaimBatch> = FakeStream(),
+    val shares: FakeStream<ShareBatch> = FakeStream(),
     val logMode: LogMode = LogMode.Up,
     val targets: PersistentMap<TargetId, FakeTarget> = persistentHashMapOf(),
     val agenda: Agenda = Agenda(),
@@ -60,6 +65,7 @@
     val requests: PersistentList<CallerRequest> = persistentListOf(),
     val answers: PersistentMap<CopyRef, String> = persistentHashMapOf(),
     val messagesFail: Boolean = false,
+    val clockGain: Duration = Duration.ZERO,
     val lastNode: Int = 0,
     val lastCall: Long = 0,
     val draws: Long = 0
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -4,6 +4,7 @@
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.limits.LimitsEvent
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.membership.RetainedBody
 import org.wisteriahinge.core.model.CallId
@@ -34,6 +35,8 @@
     }
     is CallEffect.Claim -> schedule(RING_DELAY, Delivery.Once(from, effect.request))
     is CallEffect.EndClaim -> schedule(RING_DELAY, Delivery.Once(from, effect.ended))
+    is CallEffect.ReportDemand ->
+        schedule(RING_DELAY, Delivery.Limits(from, LimitsEvent.Demanded(effect.demands)))
     is CallEffect.ReportQuarantine, is CallEffect.SummarizeQuarantine -> this
     is CallEffect.Finished, is CallEffect.Count -> this
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldRun.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldRun.kt
@@ -3,8 +3,12 @@
 import java.time.Duration
 import java.time.Instant
 import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.decide
+import org.wisteriahinge.core.limits.LimitsEvent
+import org.wisteriahinge.core.limits.decide
 import org.wisteriahinge.core.membership.PeerMessage
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.once.AppendOutcome
 import org.wisteriahinge.core.once.KeyDigest
 import org.wisteriahinge.core.once.OnceEvent
@@ -50,25 +54,29 @@
         }
     }
     is Delivery.AppendArrives -> appendArrives(delivery)
+    is Delivery.SharesArrive -> sharesArrive(delivery)
     is Delivery.RequestArrives -> requestArrives(delivery.ref)
     is Delivery.RunEnds -> runEnds(delivery.ref)
 }
 
 internal fun World.handleAt(node: Node, delivery: Delivery.ForNode): World = when (delivery) {
-    is Delivery.Calls -> {
-        val decision = node.calls.decide(delivery.event, clockOf(node))
-        decision.effects.fold(update(node.copy(calls = decision.state))) { world, effect ->
-            world.perform(node.id, effect)
-        }
-    }
+    is Delivery.Calls -> decideCalls(node, delivery.event)
     is Delivery.Once -> {
         val decision = node.once.decide(delivery.event, clockOf(node))
         decision.effects.fold(update(node.copy(once = decision.state))) { world, effect ->
             world.perform(node.id, effect)
         }
     }
+    is Delivery.Limits -> {
+        val decision = node.limits.decide(delivery.event, clockOf(node))
+        decision.effects.fold(update(node.copy(limits = decision.state))) { world, effect ->
+            world.perform(node.id, effect)
+        }
+    }
     is Delivery.Peer -> peerMessage(node, delivery.message)
     is Delivery.Tick -> schedule(RING_DELAY, Delivery.Once(node.id, OnceEvent.Ticked))
+        .schedule(RING_DELAY, Delivery.Limits(node.id, LimitsEvent.Ticked))
+        .calls(node.id, CallEvent.Ticked)
         .schedule(TICK, delivery)
     is Delivery.Bounds -> readBounds(node, delivery)
     is Delivery.Poll -> poll(node, delivery)
@@ -76,6 +84,17 @@
     is Delivery.AttemptEnded -> attemptEnded(node, delivery)
 }
 
+private fun World.decideCalls(node: Node, event: CallEvent): World {
+    val decision = node.calls.decide(event, clockOf(node))
+    val decided = decision.effects.fold(update(node.copy(calls = decision.state))) {
+            world,
+            effect
+        ->
+        world.perform(node.id, effect)
+    }
+    return if (event is CallEvent.Arrived) decided.noteAdmitted(node, event.request) else decided
+}
+
 private fun World.peerMessage(node: Node, message: PeerMessage): World = when (message) {
     is PeerMessage.OutcomeRequest ->
         once(node, OnceEvent.OutcomeAsked(message.from, KeyDigest(message.keyDigest)))
@@ -95,7 +114,11 @@
     if (logMode == LogMode.Down) {
         schedule(SLOW_LOG, delivery)
     } else {
-        update(node.copy(claimsOffset = claims.earliest))
+        update(node.copy(claimsOffset = claims.earliest, sharesOffset = shares.earliest))
+            .schedule(
+                RING_DELAY,
+                Delivery.Limits(node.id, LimitsEvent.Bounded(shares.earliest, shares.next))
+            )
             .once(node, OnceEvent.Bounded(claims.earliest, claims.next))
             .schedule(POLL, Delivery.Poll(node.id))
     }
@@ -103,14 +126,18 @@
 private fun World.poll(node: Node, delivery: Delivery.Poll): World {
     val delay = if (logMode == LogMode.Slow) SLOW_LOG else POLL
     val next = schedule(delay, delivery)
-    if (logMode == LogMode.Down) return next
+    return if (logMode == LogMode.Down) next else next.pollShares(node).pollClaims(node.id)
+}
+
+private fun World.pollClaims(id: InstanceId): World {
+    val node = nodes.getValue(id)
     if (node.claimsOffset < claims.earliest) {
-        return next.update(node.copy(claimsOffset = claims.earliest))
+        return update(node.copy(claimsOffset = claims.earliest))
             .once(node, OnceEvent.Gap(claims.earliest))
     }
     val read = claims.read(node.claimsOffset, RECORDS_PER_READ)
         .map { ReadBatch(it.index.toLong(), it.value) }.toPersistentList()
-    return next.update(node.copy(claimsOffset = node.claimsOffset + read.size))
+    return update(node.copy(claimsOffset = node.claimsOffset + read.size))
         .once(node, OnceEvent.Read(read))
 }
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
@@ -7,6 +7,11 @@
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.limits.CallLimits
+import org.wisteriahinge.core.limits.LimitScope
+import org.wisteriahinge.core.limits.LimitsSettings
+import org.wisteriahinge.core.limits.LimitsState
+import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Allowance
 import org.wisteriahinge.core.model.Configuration
@@ -57,6 +62,23 @@
     maxRetainedBytes = 1_024
 )
 
+internal val limitsSettings = LimitsSettings(
+    slots = 6,
+    term = Duration.ofSeconds(10),
+    slotTerm = Duration.ofSeconds(60)
+)
+
+private val noShares = UsableShares(persistentHashMapOf(), slot = null)
+
+/** A plan small enough that callers reach its limits. */
+internal val fuzzAllowance = Allowance(
+    callsPerSecond = 40.0,
+    burstCalls = 60,
+    concurrentCalls = 400,
+    bytesPerSecond = 8_000,
+    burstBytes = 6_000
+)
+
 /** A world with [instances] started instances. */
 internal fun newWorld(seed: Long, instances: Int): World {
     val empty = World(seed, START, fuzzSettings).copy(
@@ -74,8 +96,13 @@
         .configured(configuration.entitlements)
     val node = Node(
         id = id,
-        calls = CallsState(configuration, routing),
+        calls = CallsState(
+            configuration,
+            routing,
+            limits = CallLimits(limitsSettings, LimitScope.Leased(noShares))
+        ),
         once = OnceState(id, settings),
+        limits = LimitsState(id, limitsSettings),
         clockOffset = clockOffset
     )
     return copy(lastNode = lastNode + 1)
@@ -101,7 +128,7 @@
 
 private val plan = Plan(
     PlanId("standard"),
-    Allowance(1_000.0, 1_000, 1_000, 1_000_000, 1_000_000),
+    fuzzAllowance,
     persistentSetOf(OperationRef(bookings.id, booking.id)),
     weight = 1
 )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -164,6 +164,7 @@
                 CallEvent.ClaimSettled(effect.request.callId, ClaimSettlement.Granted)
             )
             is CallEffect.EndClaim, is CallEffect.DeliverRetained -> Unit
+            is CallEffect.ReportDemand -> Unit
             is CallEffect.ReportQuarantine -> tellPeers(instance, effect.notices)
             is CallEffect.SummarizeQuarantine -> tellPeers(instance, effect.notices)
             is CallEffect.Finished, is CallEffect.Count -> Unit
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.charts.Chart
 import org.wisteriahinge.charts.InvalidChartException
+import org.wisteriahinge.core.availability.availabilityChart
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
 import org.wisteriahinge.core.limits.leaseChart
@@ -17,6 +18,11 @@
      * @throws InvalidChartException if a chart file is missing or has a fault; called at startup,
      * so that a broken file stops the process before it serves callers.
      */
-    public fun loadAll(): PersistentList<Chart<*, *, *>> =
-        persistentListOf(attemptChart, configurationChart, leaseChart, peerChart)
+    public fun loadAll(): PersistentList<Chart<*, *, *>> = persistentListOf(
+        attemptChart,
+        availabilityChart,
+        configurationChart,
+        leaseChart,
+        peerChart
+    )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -56,7 +56,7 @@
 
 private fun CallsState.denialByState(call: CallInProgress, now: Instant): RetryDenial? = when {
     retries.withdrawRetry(call.matched.service.id) == null -> RetryDenial.BudgetSpent
-    else -> when (routing.choose(routeRequest(call, now))) {
+    else -> when (routing.choose(routeRequest(call, now), now)) {
         is RouteChoice.Chosen -> null
         RouteChoice.NoTarget -> RetryDenial.NoOtherTarget
     }
@@ -114,7 +114,7 @@
     val service = call.matched.service.id
     val counter = CallCounter.Retried(service, verdict.reason)
     val spent = copy(retries = retries.withdrawRetry(service) ?: retries)
-    return when (val choice = spent.routing.choose(routeRequest(call, now))) {
+    return when (val choice = spent.routing.choose(routeRequest(call, now), now)) {
         is RouteChoice.Chosen ->
             CallsDecision(spent).emit(CallEffect.Count(counter))
                 .then { it.forward(call, choice, now) }
