--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,7 +4,10 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.fuzz.atMostOnce
 import org.wisteriahinge.bench.fuzz.fuzzCommand
+import org.wisteriahinge.bench.fuzz.limits
+import org.wisteriahinge.bench.fuzz.logOutage
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
 import org.wisteriahinge.bench.policy.runPolicies
@@ -20,6 +23,9 @@
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
+        name == "at-most-once" -> println(atMostOnce(seed.toLong()))
+        name == "log-outage" -> println(logOutage(seed.toLong()))
+        name == "limits" -> println(limits(seed.toLong()))
         name == "demo" -> Demo().use { it.run() }
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
@@ -14,6 +14,8 @@
 
 private const val MIN_NODES = 2
 private const val MAX_NODES = 5
+private const val REPEATABLE_ONE_IN = 8
+private const val BODY_BYTES = 100L
 private const val CLOCK_ERROR_MILLIS = 1_000
 
 /** A step of a run; [draw] decides its details. */
@@ -95,7 +97,8 @@
     return CallerRequest(
         IdempotencyKey(key),
         customerIds.random(random),
-        "booking ${requests.size}"
+        "booking ${requests.size}",
+        isRepeatable = random.nextInt(REPEATABLE_ONE_IN) == 0
     )
 }
 
@@ -109,26 +112,29 @@
         request.copy(customer = customerIds.first { it != request.customer })
     }
 
-private fun World.send(random: Random, request: CallerRequest): World {
-    val node = pick(random) ?: return this
+private fun World.send(random: Random, request: CallerRequest): World =
+    pick(random)?.let { send(it, request, millis(random.nextInt(100, 20_000))) } ?: this
+
+/** A caller sends [request] to [node] and waits for [timeout]. */
+internal fun World.send(node: Node, request: CallerRequest, timeout: Duration): World {
     val callId = CallId(lastCall + 1)
     val call = CallRequest(
         callId = callId,
         credential = PresentedCredential(CredentialId(request.customer.value), KEYED_HASH),
-        method = "POST",
+        method = if (request.isRepeatable) "GET" else "POST",
         path = "/bookings",
-        idempotencyKey = request.key,
+        idempotencyKey = request.key.takeUnless { request.isRepeatable },
         digest = RequestDigest(request.content),
-        deadline = clockOf(node).plus(millis(random.nextInt(100, 20_000))),
+        deadline = clockOf(node).plus(timeout),
         depth = 0,
         retriesAllowed = true,
-        bodyBytes = 100,
+        bodyBytes = BODY_BYTES,
         replayable = true
     )
     return copy(
         lastCall = callId.value,
         requests = if (request in requests) requests else requests.add(request),
-        oracle = oracle.sent(CopyRef(node.id, callId), request)
+        oracle = oracle.sent(CopyRef(node.id, callId), request, time)
     ).schedule(Duration.ZERO, Delivery.Calls(node.id, CallEvent.Arrived(call)))
 }
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Oracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Oracle.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.core.model.Allowance
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.IdempotencyKey
@@ -21,7 +22,8 @@
 internal data class CallerRequest(
     val key: IdempotencyKey,
     val customer: CustomerId,
-    val content: String
+    val content: String,
+    val isRepeatable: Boolean = false
 ) {
     /** The whole answer that belongs to this request. */
     val answer: String get() = "answer to $content of $customer with $key"
@@ -38,6 +40,9 @@
 
 /** Watches runs and answers, and notes what contradicts the guarantees. */
 internal data class Oracle(
+    val allowance: Allowance,
+    val waits: PersistentMap<CopyRef, Duration> = persistentHashMapOf(),
+    val sentAt: PersistentMap<CopyRef, Instant> = persistentHashMapOf(),
     val requests: PersistentMap<CopyRef, CallerRequest> = persistentHashMapOf(),
     val told: PersistentMap<CopyRef, Told> = persistentHashMapOf(),
     val runs: PersistentMap<IdempotencyKey, Int> = persistentHashMapOf(),
@@ -46,12 +51,21 @@
         persistentHashMapOf(),
     val violations: PersistentList<String> = persistentListOf()
 ) {
-    fun sent(copy: CopyRef, request: CallerRequest): Oracle =
-        copy(requests = requests.put(copy, request))
+    fun sent(copy: CopyRef, request: CallerRequest, at: Instant): Oracle =
+        copy(requests = requests.put(copy, request), sentAt = sentAt.put(copy, at))
+
+    /** The first attempt of [copy] leaves its instance. */
+    fun forwarded(copy: CopyRef, at: Instant): Oracle = if (copy in waits) {
+        this
+    } else {
+        copy(waits = waits.put(copy, Duration.between(sentAt.getValue(copy), at)))
+    }
 
     /** A target starts to run [copy]. */
     fun ran(copy: CopyRef): Oracle {
-        val key = requests.getValue(copy).key
+        val request = requests.getValue(copy)
+        if (request.isRepeatable) return this
+        val key = request.key
         val count = (runs[key] ?: 0) + 1
         return copy(runs = runs.put(key, count), ranCopies = ranCopies.add(copy))
             .check("runs per key at most one", count <= 1) { "$key ran $count times" }
@@ -85,8 +99,8 @@
         val worst = recent.asReversed().withIndex().firstOrNull { (index, first) ->
             val span = Duration.between(first.at, admission.at).plus(clockGain)
             val seconds = span.toNanos() / NANOS_PER_SECOND
-            index + 1 > fuzzAllowance.burstCalls + fuzzAllowance.callsPerSecond * seconds + 1e-6 ||
-                bytes[index] > fuzzAllowance.burstBytes + fuzzAllowance.bytesPerSecond * seconds
+            index + 1 > allowance.burstCalls + allowance.callsPerSecond * seconds + 1e-6 ||
+                bytes[index] > allowance.burstBytes + allowance.bytesPerSecond * seconds
         }
         return copy(admissions = admissions.put(customer, all))
             .check("admitted at most the plan", worst == null) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -19,7 +19,9 @@
 private val SLOW_APPEND: Duration = Duration.ofMillis(500)
 
 internal fun World.perform(from: InstanceId, effect: CallEffect): World = when (effect) {
-    is CallEffect.Forward -> schedule(
+    is CallEffect.Forward -> copy(
+        oracle = oracle.forwarded(CopyRef(from, effect.callId), time)
+    ).schedule(
         RING_DELAY,
         Delivery.Transmit(from, AttemptRef(CopyRef(from, effect.callId), effect.attempt))
     )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldSetup.kt
@@ -62,7 +62,12 @@
     maxRetainedBytes = 1_024
 )
 
-internal val limitsSettings = LimitsSettings(
+/** What differs between worlds: the plan of all customers and the settings of the leases. */
+internal data class WorldProfile(val allowance: Allowance, val limits: LimitsSettings) {
+    val configuration: Configuration = configurationOf(allowance)
+}
+
+private val limitsSettings = LimitsSettings(
     slots = 6,
     term = Duration.ofSeconds(10),
     slotTerm = Duration.ofSeconds(60)
@@ -79,10 +84,13 @@
     burstBytes = 6_000
 )
 
+/** Terms are short, so that they end within a run. */
+internal val fuzzProfile by lazy { WorldProfile(fuzzAllowance, limitsSettings) }
+
 /** A world with [instances] started instances. */
-internal fun newWorld(seed: Long, instances: Int): World {
-    val empty = World(seed, START, fuzzSettings).copy(
-        targets = configuration.entitlements.services.values.flatMap { it.targets }
+internal fun newWorld(seed: Long, instances: Int, profile: WorldProfile = fuzzProfile): World {
+    val empty = World(seed, START, fuzzSettings, profile, Oracle(profile.allowance)).copy(
+        targets = profile.configuration.entitlements.services.values.flatMap { it.targets }
             .fold(persistentHashMapOf()) { all, target -> all.put(target.id, FakeTarget()) }
     )
     return (1..instances).fold(empty) { world, _ -> world.startNode(Duration.ZERO) }
@@ -93,16 +101,16 @@
 internal fun World.startNode(clockOffset: Duration): World {
     val id = InstanceId("i${lastNode + 1}")
     val routing = RoutingState(RoutingPolicy.TwoChoices, ZONE, seed + lastNode)
-        .configured(configuration.entitlements)
+        .configured(profile.configuration.entitlements)
     val node = Node(
         id = id,
         calls = CallsState(
-            configuration,
+            profile.configuration,
             routing,
-            limits = CallLimits(limitsSettings, LimitScope.Leased(noShares))
+            limits = CallLimits(profile.limits, LimitScope.Leased(noShares))
         ),
         once = OnceState(id, settings),
-        limits = LimitsState(id, limitsSettings),
+        limits = LimitsState(id, profile.limits),
         clockOffset = clockOffset
     )
     return copy(lastNode = lastNode + 1)
@@ -119,30 +127,43 @@
     WorkClass.Short
 )
 
+private val lookup = Operation(
+    OperationId("look-up"),
+    "GET",
+    PathTemplate("/bookings"),
+    Repeatability.Repeatable,
+    WorkClass.Short
+)
+
 private val bookings = Service(
     ServiceId("bookings"),
     (1..TARGETS).map { Target(TargetId("t$it"), ZONE, Address("10.0.0.$it", 80), SLOTS) }
         .toPersistentList(),
-    persistentListOf(booking)
+    persistentListOf(booking, lookup)
 )
 
-private val plan = Plan(
+private fun planOf(allowance: Allowance) = Plan(
     PlanId("standard"),
-    fuzzAllowance,
-    persistentSetOf(OperationRef(bookings.id, booking.id)),
+    allowance,
+    persistentSetOf(
+        OperationRef(bookings.id, booking.id),
+        OperationRef(bookings.id, lookup.id)
+    ),
     weight = 1
 )
 
-internal val configuration = Configuration(
-    RevisionNumber(1),
-    Customers(
-        customerIds.fold(persistentHashMapOf()) { all, id ->
-            val credential = Credential(CredentialId(id.value), KEYED_HASH, Standing.Active)
-            all.put(id, Customer(id, plan.id, persistentListOf(credential), Standing.Active))
-        }
-    ),
-    Entitlements(
-        persistentHashMapOf(bookings.id to bookings),
-        persistentHashMapOf(plan.id to plan)
+private fun configurationOf(allowance: Allowance): Configuration {
+    val plan = planOf(allowance)
+    val customers = customerIds.fold(persistentHashMapOf<CustomerId, Customer>()) { all, id ->
+        val credential = Credential(CredentialId(id.value), KEYED_HASH, Standing.Active)
+        all.put(id, Customer(id, plan.id, persistentListOf(credential), Standing.Active))
+    }
+    return Configuration(
+        RevisionNumber(1),
+        Customers(customers),
+        Entitlements(
+            persistentHashMapOf(bookings.id to bookings),
+            persistentHashMapOf(plan.id to plan)
+        )
     )
-)
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/Share.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/Share.kt
@@ -57,7 +57,8 @@
 /**
  * One record of the stream `shares`, written at [at] by the clock of [instance].
  *
- * The writer had read the stream up to but without [readOffset] before it. [sequence] grows with each record of an instance. Shares last until [until] and the slot until
+ * The writer had read the stream up to but without [readOffset] before it. [sequence] grows with
+ * each record of an instance. Shares last until [until] and the slot until
  * [slotUntil], unless a later record replaces them.
  */
 public data class ShareBatch(
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
@@ -84,8 +84,8 @@
         if (own != null && own.sequence >= batch.sequence) return this
         val others = holdings.remove(batch.instance).filterValues { counts(it.until, batch.at) }
         val unread = if (batch.at < lostUntil) Grants.Leased else Grants.None
-        val taken = others.values.fold(unread) { sum, it -> sum + it.most }
-        val surelyTaken = others.values.fold(Grants.None) { sum, it -> sum + it.least }
+        val taken = others.values.fold(unread) { sum, held -> sum + held.most }
+        val surelyTaken = others.values.fold(Grants.None) { sum, held -> sum + held.least }
         val holding = Holding(
             least = entry.want.atMost(Grants.Leased.minus(taken)),
             most = entry.want.atMost(Grants.Leased.minus(surelyTaken)),
@@ -93,8 +93,8 @@
             until = batch.until,
             sequence = batch.sequence
         )
-        val kept = others.entries.fold(persistentHashMapOf<InstanceId, Holding>()) { all, it ->
-            all.put(it.key, it.value)
+        val kept = others.entries.fold(persistentHashMapOf<InstanceId, Holding>()) { all, other ->
+            all.put(other.key, other.value)
         }
         return copy(shares = shares.put(entry.customer, kept.put(batch.instance, holding)))
     }
@@ -123,16 +123,16 @@
 
     /** What others than [instance] may hold of [customer]'s allowance at [at]. */
     internal fun heldByOthers(customer: CustomerId, instance: InstanceId, at: Instant): Grants =
-        others(customer, instance, at).fold(Grants.None) { sum, it -> sum + it.most }
+        others(customer, instance, at).fold(Grants.None) { sum, held -> sum + held.most }
 
     /** What all instances but [instance] could use of [customer]'s allowance. */
     internal fun demandOfOthers(customer: CustomerId, instance: InstanceId, at: Instant): Grants =
-        others(customer, instance, at).fold(Grants.None) { sum, it -> sum + it.demand }
+        others(customer, instance, at).fold(Grants.None) { sum, held -> sum + held.demand }
 
     /** What all instances but [instance] need of [customer]'s allowance and do not hold. */
     internal fun lackOfOthers(customer: CustomerId, instance: InstanceId, at: Instant): Grants =
         others(customer, instance, at)
-            .fold(Grants.None) { sum, it -> sum + it.demand.minus(it.most) }
+            .fold(Grants.None) { sum, held -> sum + held.demand.minus(held.most) }
 
     private fun others(customer: CustomerId, instance: InstanceId, at: Instant): List<Holding> =
         shares[customer].orEmpty()
