--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -1,10 +1,7 @@
 package org.wisteriahinge.adapters.caller
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.http.ContentType
-import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.response.respondBytes
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
@@ -24,7 +21,6 @@
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
-import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.LoadReport
@@ -41,7 +37,7 @@
     data class Delivered(val targetTime: Duration) : ExchangeEnd
 
     /** The caller got the retained answer of an earlier copy of its request. */
-    data object Replayed : ExchangeEnd
+    data object Retained : ExchangeEnd
 
     /** Part of an answer was passed on; the caller must not take it for the whole. */
     data object Broken : ExchangeEnd
@@ -51,7 +47,7 @@
 internal fun ExchangeEnd.describe(): String = when (this) {
     is ExchangeEnd.Refused -> refusal.reason.wireName
     is ExchangeEnd.Delivered -> "delivered"
-    ExchangeEnd.Replayed -> "replayed"
+    ExchangeEnd.Retained -> "retained"
     ExchangeEnd.Broken -> "broken"
 }
 
@@ -102,8 +98,11 @@
                 is CallEffect.Deliver -> running[effect.attemptId]?.chosen?.complete(Unit)
                 is CallEffect.CancelAttempt -> running[effect.attemptId]?.job?.cancel()
                 is CallEffect.Refuse -> return refused(effect.refusal)
-                is CallEffect.DeliverRetained -> return replay(effect.answer)
                 is CallEffect.Finished -> return ended(delivery)
+                is CallEffect.DeliverRetained -> {
+                    call.respondRetained(effect.answer)
+                    return ExchangeEnd.Retained
+                }
             }
         }
     }
@@ -111,15 +110,6 @@
     private fun refused(refusal: Refusal): ExchangeEnd =
         if (call.response.isCommitted) ExchangeEnd.Broken else ExchangeEnd.Refused(refusal)
 
-    private suspend fun replay(answer: RetainedAnswer): ExchangeEnd {
-        call.respondBytes(
-            bytes = answer.body.toByteArray(),
-            contentType = answer.contentType?.let(ContentType::parse),
-            status = HttpStatusCode.fromValue(answer.status)
-        )
-        return ExchangeEnd.Replayed
-    }
-
     private suspend fun ended(delivery: CompletableDeferred<Delivery>): ExchangeEnd {
         if (!delivery.isCompleted) return ExchangeEnd.Broken
         val delivered = delivery.await()
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallGateway.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallGateway.kt
@@ -43,7 +43,10 @@
     }
 
     public companion object {
-        /** An arrival, two events for each of two parallel attempts, and the caller's leaving. */
-        public const val MESSAGES_PER_CALL: Int = 6
+        /**
+         * An arrival, two events for each of two parallel attempts, a captured answer, and the
+         * caller's leaving.
+         */
+        public const val MESSAGES_PER_CALL: Int = 7
     }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -55,12 +55,12 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
-    private val log = HttpPlatformLog(settings.logUrl, settings.logTimeout)
+    private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
     private val network = settings.peers?.let { PeerNetwork(it, registry, this, clock) }
     private val configuration = ConfigurationPart(
-        settings.configurationTiming,
+        settings.log.configurationTiming,
         log,
         logRing,
         registry,
@@ -81,6 +81,7 @@
         LimitsService(it.id, settings.limits, log, logRing, callsRing, clock)
     }
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
+    private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val server = CallerServer(
         CallerServerSettings(
             settings.callerHost,
@@ -89,12 +90,12 @@
             settings.maxTimeout
         ),
         CallerServerParts(
-            gateway = CallGateway(callsRing, MAX_CALLS),
+            gateway = gateway,
             backend = backend,
             hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
             clock = clock,
             counters = metrics::count,
-            answerListener = ClaimedAnswers(settings.once.maxAnswerBytes, callsRing)
+            answerListener = AnswerRetention(gateway, settings.once.maxAnswerBytes)
         )
     )
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsAppends.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsAppends.kt
@@ -1,9 +1,14 @@
 package org.wisteriahinge.core.limits
 
+import java.time.Duration
 import java.time.Instant
+import kotlin.random.Random
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.core.model.CustomerId
 
+/** How long a wish for a static slot waits for its record before another slot is tried. */
+private val SLOT_RETRY: Duration = Duration.ofSeconds(1)
+
 /** A change of the wish by less than this is not worth a record, in thousandths. */
 private const val SMALL_CHANGE = 20
 
@@ -100,8 +105,14 @@
     val held = ledger.slotOf(instance)
     if (stopping) return held?.let { ShareEntry.FreeSlot }
     val due = lastSlotAppendAt.plus(settings.slotTerm.dividedBy(4)) <= now
-    val retry = slot == null && lastSlotAppendAt.plus(settings.renewEvery) <= now
+    val retry = slot == null && lastSlotAppendAt.plus(SLOT_RETRY) <= now
     if (!due && !retry) return null
-    val wanted = held?.key ?: ledger.freeSlotAt(now) ?: return null
-    return ShareEntry.Slot(wanted)
+    return (held?.key ?: chooseSlot(now))?.let { ShareEntry.Slot(it) }
+}
+
+/** Instances that start together try different slots, and another one after each failure. */
+private fun LimitsState.chooseSlot(now: Instant): Int? {
+    val free = ledger.freeSlotsAt(now)
+    val draw = Random("$instance ${lastSequence + 1}".hashCode())
+    return free.randomOrNull(draw)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
@@ -142,8 +142,8 @@
     internal fun slotOf(instance: InstanceId): Map.Entry<Int, SlotHolding>? =
         slots.entries.firstOrNull { it.value.instance == instance }
 
-    /** The lowest slot that no other instance holds at [at]; null when all are taken. */
-    internal fun freeSlotAt(at: Instant): Int? = (0 until settings.slots).firstOrNull { slot ->
+    /** The slots that no other instance holds at [at]. */
+    internal fun freeSlotsAt(at: Instant): List<Int> = (0 until settings.slots).filter { slot ->
         slots[slot]?.let { !counts(it.until, at) } ?: true
     }
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
@@ -28,6 +28,7 @@
         is AttemptResult.Answered -> answered(view, at, result.status, moment)
         is AttemptResult.Failed -> when (result.attribution) {
             FailureAttribution.Target -> failed(view, result.failure, moment)
+            // One customer's request that crashes servers must not eject them for others.
             FailureAttribution.Request -> view.health
         }
     }
