--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -6,11 +6,8 @@
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
-<<<<<<< HEAD
 import kotlinx.collections.immutable.persistentHashMapOf
-=======
 import kotlinx.collections.immutable.persistentSetOf
->>>>>>> origin/main
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.backend.LoadProber
@@ -86,14 +83,11 @@
         network?.link ?: UnconnectedPeers,
         clock
     )
-<<<<<<< HEAD
     private val limits = network?.let {
         LimitsService(it.id, settings.limits, log, logRing, callsRing, clock)
     }
-=======
     private val prober = LoadProber(clock, ::offerToCalls)
     private val timer = TimerDuty(callsRing, TICK_PERIOD)
->>>>>>> origin/main
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
     private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val server = CallerServer(
@@ -115,12 +109,8 @@
 
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
-<<<<<<< HEAD
-        routing = RoutingState(RoutingPolicy.TwoChoices, settings.zone, settings.seed),
+        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed),
         limits = CallLimits(settings.limits, initialScope())
-=======
-        routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed)
->>>>>>> origin/main
     )
 
     private fun initialScope(): LimitScope = when (settings.peers) {
@@ -196,11 +186,8 @@
         logDuty.start()
         configuration.start()
         once.start()
-<<<<<<< HEAD
         limits?.start()
-=======
         if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
->>>>>>> origin/main
         network?.start()
         timer.start()
         return server.start()
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -39,6 +39,8 @@
     is CallEffect.EndClaim -> schedule(RING_DELAY, Delivery.Once(from, effect.ended))
     is CallEffect.ReportDemand ->
         schedule(RING_DELAY, Delivery.Limits(from, LimitsEvent.Demanded(effect.demands)))
+    // The world's routing neither probes nor shares loads between instances.
+    is CallEffect.Probe, is CallEffect.TellLoads -> this
     is CallEffect.ReportQuarantine, is CallEffect.SummarizeQuarantine -> this
     is CallEffect.Probe, is CallEffect.TellLoads -> this
     is CallEffect.Finished, is CallEffect.Count -> this
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -67,16 +67,14 @@
     public data class SummarizeQuarantine(val notices: PersistentList<QuarantineNotice>) :
         CallEffect
 
-<<<<<<< HEAD
     /** Tell the `limits` duty what the customers could use. */
     public data class ReportDemand(val demands: PersistentMap<CustomerId, Demand>) : CallEffect
-=======
+
     /** Ask [target] for its load, outside any call. */
     public data class Probe(val target: Target) : CallEffect
 
     /** What the next heartbeats tell of targets; replaces what they told before. */
     public data class TellLoads(val loads: PersistentList<TargetLoad>) : CallEffect
->>>>>>> origin/main
 
     /** Add one to a metric. */
     public data class Count(val counter: CallCounter) : CallEffect
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,11 +1,8 @@
 package org.wisteriahinge.core.call
 
 import kotlinx.collections.immutable.PersistentList
-<<<<<<< HEAD
-import org.wisteriahinge.core.limits.UsableShares
-=======
 import kotlinx.collections.immutable.PersistentSet
->>>>>>> origin/main
+import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.membership.TargetLoad
@@ -66,10 +63,9 @@
         val notices: PersistentList<QuarantineNotice>
     ) : CallEvent
 
-<<<<<<< HEAD
     /** The `limits` duty announced the shares that may be used from now on. */
     public data class SharesChanged(val shares: UsableShares) : CallEvent
-=======
+
     /** A probe of [target] brought no load report. */
     public data class ProbeFailed(val target: TargetId) : CallEvent
 
@@ -80,7 +76,6 @@
     /** The instances that take part, [self] included, changed. */
     public data class MembersChanged(val self: InstanceId, val live: PersistentSet<InstanceId>) :
         CallEvent
->>>>>>> origin/main
 
     /** Time passed; queued calls and deadlines are looked at. */
     public data object Ticked : CallEvent
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -67,12 +67,9 @@
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
     .then { it.startHedges(now) }
-<<<<<<< HEAD
     .then { it.reportDemand(now) }
-=======
     .then { it.probe(now) }
     .then { it.tellPeers(now) }
->>>>>>> origin/main
 
 private fun CallsState.callerGone(callId: CallId, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
