--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Oracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/Oracle.kt
@@ -95,7 +95,7 @@
     fun admitted(customer: CustomerId, admission: Admission, clockGain: Duration): Oracle {
         val all = (admissions[customer] ?: persistentListOf()).add(admission)
         val recent = all.takeLast(WINDOW_ADMISSIONS)
-        val bytes = recent.asReversed().runningFold(0L) { sum, it -> sum + it.bytes }.drop(1)
+        val bytes = recent.asReversed().runningFold(0L) { sum, one -> sum + one.bytes }.drop(1)
         val worst = recent.asReversed().withIndex().firstOrNull { (index, first) ->
             val span = Duration.between(first.at, admission.at).plus(clockGain)
             val seconds = span.toNanos() / NANOS_PER_SECOND
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -48,14 +48,17 @@
     /** A report of a target's load from outside a call, for example from a probe. */
     public data class LoadReported(val targetId: TargetId, val load: LoadReport) : CallEvent
 
+    /** What another duty decided. */
+    public sealed interface Decided : CallEvent
+
     /** A revision of the operators' lists came into force. */
-    public data class Configured(val configuration: Configuration) : CallEvent
+    public data class Configured(val configuration: Configuration) : Decided
 
     /** The `once` duty settled the claim of a call. */
-    public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : CallEvent
+    public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : Decided
 
     /** The front end captured the whole answer that it delivers, for later resends. */
-    public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : CallEvent
+    public data class AnswerCaptured(val callId: CallId, val answer: RetainedAnswer) : Decided
 
     /** The peer [from] reported requests that crashed servers. */
     public data class QuarantineReported(
@@ -64,7 +67,7 @@
     ) : CallEvent
 
     /** The `limits` duty announced the shares that may be used from now on. */
-    public data class SharesChanged(val shares: UsableShares) : CallEvent
+    public data class SharesChanged(val shares: UsableShares) : Decided
 
     /** A probe of [target] brought no load report. */
     public data class ProbeFailed(val target: TargetId) : CallEvent
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -29,19 +29,24 @@
     is CallEvent.CallerGone -> callerGone(event.callId, now)
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
-    is CallEvent.Configured -> configured(event.configuration)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
-    is CallEvent.ClaimSettled -> claimSettled(event, now)
-    is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
-    is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     is CallEvent.ProbeFailed -> probeFailed(event.target)
     is CallEvent.PeerLoads ->
         CallsDecision(copy(routing = routing.peerReported(event.from, event.loads, now)))
     is CallEvent.MembersChanged ->
         CallsDecision(copy(routing = routing.membersChanged(event.self, event.live)))
+    is CallEvent.Decided -> decided(event, now)
     CallEvent.Ticked -> ticked(now)
 }
 
+private fun CallsState.decided(event: CallEvent.Decided, now: Instant): CallsDecision =
+    when (event) {
+        is CallEvent.Configured -> configured(event.configuration)
+        is CallEvent.ClaimSettled -> claimSettled(event, now)
+        is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
+        is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
+    }
+
 private fun CallsState.configured(next: Configuration): CallsDecision =
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
--- /dev/null
+++ b/core/src/test/kotlin/org/wisteriahinge/core/limits/ShareLedgerTest.kt
@@ -0,0 +1,68 @@
+package org.wisteriahinge.core.limits
+
+import java.time.Instant
+import kotlinx.collections.immutable.persistentListOf
+import org.junit.jupiter.api.Test
+import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.InstanceId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class ShareLedgerTest {
+    private val start = Instant.parse("2026-01-01T00:00:00Z")
+    private val customer = CustomerId("c")
+
+    private fun want(instance: String, sequence: Long, units: Int, second: Long) = ShareBatch(
+        appendId = "$instance-$sequence",
+        instance = InstanceId(instance),
+        sequence = sequence,
+        at = start.plusSeconds(second),
+        readOffset = 0,
+        until = start.plusSeconds(second + 30),
+        slotUntil = start.plusSeconds(second + 60),
+        entries = persistentListOf(
+            ShareEntry.Share(customer, Grants(units, units, units), Grants.None),
+            ShareEntry.Slot(0)
+        )
+    )
+
+    private fun fold(vararg batches: ShareBatch) =
+        batches.foldIndexed(ShareLedger(LimitsSettings())) { offset, ledger, batch ->
+            ledger.apply(ReadShares(offset.toLong(), batch))
+        }
+
+    private fun ShareLedger.held(instance: String) =
+        shares[customer]?.get(InstanceId(instance))?.least?.calls ?: 0
+
+    /** Guards against shares that together exceed the leased part. */
+    @Test
+    fun `the first in the log wins and the rest is what is left`() {
+        val ledger = fold(want("a", 1, 700, 0), want("b", 1, 700, 0))
+        expectThat(ledger.held("a")).isEqualTo(700)
+        expectThat(ledger.held("b")).isEqualTo(200)
+    }
+
+    /** Guards against taking a share while its holder's clock may still be inside the term. */
+    @Test
+    fun `a share is counted until its term and the skew bound have passed`() {
+        expectThat(fold(want("a", 1, 900, 0), want("b", 1, 900, 31)).held("b")).isEqualTo(0)
+        expectThat(fold(want("a", 1, 900, 0), want("b", 1, 900, 32)).held("b")).isEqualTo(900)
+    }
+
+    /** Guards against an append that arrives late and shrinks what its writer uses by now. */
+    @Test
+    fun `a record that was overtaken by a later one of its writer is ignored`() {
+        val ledger = fold(want("a", 2, 900, 1), want("a", 1, 100, 0), want("b", 1, 800, 2))
+        expectThat(ledger.held("a")).isEqualTo(900)
+        expectThat(ledger.held("b")).isEqualTo(0)
+    }
+
+    /** Guards against two instances that use the same static slot. */
+    @Test
+    fun `a slot has one holder until its term and the skew bound have passed`() {
+        expectThat(fold(want("a", 1, 0, 0), want("b", 1, 0, 61)).slots[0]?.instance)
+            .isEqualTo(InstanceId("a"))
+        expectThat(fold(want("a", 1, 0, 0), want("b", 1, 0, 62)).slots[0]?.instance)
+            .isEqualTo(InstanceId("b"))
+    }
+}
