--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -30,6 +30,9 @@
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.retry.Hedging
+import org.wisteriahinge.core.retry.RetrySettings
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
@@ -45,8 +48,12 @@
 private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
 
-/** Period of hedges, queue deadlines and probes; short against the answer times of targets. */
-private val TICK_PERIOD: Duration = Duration.ofMillis(20)
+/** Waiting calls and hedges are looked at this often; short work takes a few milliseconds. */
+private val TICK: Duration = Duration.ofMillis(5)
+
+/** Share of short answers that arrive before a hedge starts. */
+private const val HEDGE_QUANTILE = 0.95
+
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
@@ -61,6 +68,7 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
+    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
     private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
@@ -87,7 +95,6 @@
         LimitsService(it.id, settings.limits, log, logRing, callsRing, clock)
     }
     private val prober = LoadProber(clock, ::offerToCalls)
-    private val timer = TimerDuty(callsRing, TICK_PERIOD)
     private val backend = BackendClient(ConnectionLimits(settings.maxConnectionsPerTarget))
     private val gateway = CallGateway(callsRing, MAX_CALLS)
     private val server = CallerServer(
@@ -110,7 +117,8 @@
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
         routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed),
-        limits = CallLimits(settings.limits, initialScope())
+        limits = CallLimits(settings.limits, initialScope()),
+        retries = RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     )
 
     private fun initialScope(): LimitScope = when (settings.peers) {
@@ -197,11 +205,11 @@
         server.close()
         limits?.close()
         once.close()
-        timer.stop(STOP_TIMEOUT)
         prober.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
+        timer.stop(STOP_TIMEOUT)
         calls.stop(STOP_TIMEOUT)
         backend.close()
         log.close()
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -4,12 +4,16 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
+import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.fuzz.atMostOnce
 import org.wisteriahinge.bench.fuzz.fuzzCommand
 import org.wisteriahinge.bench.fuzz.limits
 import org.wisteriahinge.bench.fuzz.logOutage
+import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
@@ -27,6 +31,8 @@
         name == "log-outage" -> println(logOutage(seed.toLong()))
         name == "limits" -> println(limits(seed.toLong()))
         name == "demo" -> Demo().use { it.run() }
+        name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
+        name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
     }
@@ -38,7 +44,7 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = SCENARIOS.joinToString { it.name }
+    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.mapBoth
 import java.time.Instant
+import org.wisteriahinge.core.admission.LongPermits
 import org.wisteriahinge.core.admission.dispatchQueued
 import org.wisteriahinge.core.admission.refuseExpired
 import org.wisteriahinge.core.model.CallId
@@ -33,8 +34,7 @@
     is CallEvent.ProbeFailed -> probeFailed(event.target)
     is CallEvent.PeerLoads ->
         CallsDecision(copy(routing = routing.peerReported(event.from, event.loads, now)))
-    is CallEvent.MembersChanged ->
-        CallsDecision(copy(routing = routing.membersChanged(event.self, event.live)))
+    is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.Decided -> decided(event, now)
     CallEvent.Ticked -> ticked(now)
 }
@@ -47,6 +47,16 @@
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     }
 
+private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
+    val permits = LongPermits.among(event.live, event.self)
+    return CallsDecision(
+        copy(
+            admission = admission.copy(longPermits = permits),
+            routing = routing.membersChanged(event.self, event.live)
+        )
+    )
+}
+
 private fun CallsState.configured(next: Configuration): CallsDecision =
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
