--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -8,6 +8,7 @@
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.adapters.admin.AdminAddress
 import org.wisteriahinge.adapters.admin.AdminServer
@@ -28,6 +29,9 @@
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.lifecycle.LifecycleAction
 import org.wisteriahinge.core.lifecycle.LifecycleEvent
+import org.wisteriahinge.core.limits.CallLimits
+import org.wisteriahinge.core.limits.LimitScope
+import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.membership.Members
 import org.wisteriahinge.core.membership.MembershipEvent
 import org.wisteriahinge.core.membership.PeerMessage
@@ -65,7 +69,7 @@
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** One running instance of the load balancer: its duties, rings and adapters. */
-public class Instance(private val settings: InstanceSettings, clock: Clock) :
+public class Instance(private val settings: InstanceSettings, private val clock: Clock) :
     PeerListener,
     Closeable {
     private val registry = PrometheusRegistry()
@@ -99,6 +103,9 @@
         network?.link ?: UnconnectedPeers,
         clock
     )
+    private val limits = network?.let {
+        LimitsService(it.id, settings.limits, log, logRing, callsRing, clock)
+    }
     private val prober = LoadProber(clock, ::offerToCalls)
     private val backend = BackendClient(ConnectionLimits(settings.calls.maxConnectionsPerTarget))
     private val gateway = CallGateway(callsRing, MAX_CALLS)
@@ -132,14 +139,21 @@
     private fun initialState() = CallsState(
         configuration = Configuration.Empty,
         routing = RoutingState(RoutingPolicy.Wisteriahinge(), settings.zone, settings.seed),
+        limits = CallLimits(settings.limits, initialScope()),
         retries = RetryState(RetrySettings(hedging = Hedging.AfterQuantile(HEDGE_QUANTILE)))
     )
 
+    private fun initialScope(): LimitScope = when (settings.peers) {
+        null -> LimitScope.WholePlan(since = clock.instant())
+        else -> LimitScope.Leased(UsableShares(persistentHashMapOf(), slot = null))
+    }
+
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
             is CallEffect.Claim -> once.request(effect.request)
             is CallEffect.EndClaim -> once.end(effect.ended)
+            is CallEffect.ReportDemand -> limits?.demanded(effect.demands)
             is CallEffect.ReportQuarantine ->
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
@@ -222,6 +236,7 @@
         logDuty.start()
         configuration.start()
         once.start()
+        limits?.start()
         if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
         timer.start()
         try {
@@ -248,6 +263,7 @@
     override fun close() {
         server.close()
         timer.stop(STOP_TIMEOUT)
+        limits?.close()
         once.close()
         prober.close()
         network?.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceSettings.kt
@@ -3,6 +3,7 @@
 import java.time.Duration
 import org.wisteriahinge.adapters.caller.BodyLimits
 import org.wisteriahinge.core.configuration.ConfigurationTiming
+import org.wisteriahinge.core.limits.LimitsSettings
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
 
@@ -19,7 +20,8 @@
     public val peers: PeerSettings? = null,
     public val once: OnceSettings = OnceSettings(),
     public val calls: CallSettings = CallSettings(),
-    public val process: ProcessSettings = ProcessSettings()
+    public val process: ProcessSettings = ProcessSettings(),
+    public val limits: LimitsSettings = LimitsSettings()
 )
 
 /** Bounds of the time, the bodies and the connections of calls. */
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -8,7 +8,10 @@
 import org.wisteriahinge.bench.capacity.runCapacity
 import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
 import org.wisteriahinge.bench.configuration.runConfigSpread
+import org.wisteriahinge.bench.fuzz.atMostOnce
 import org.wisteriahinge.bench.fuzz.fuzzCommand
+import org.wisteriahinge.bench.fuzz.limits
+import org.wisteriahinge.bench.fuzz.logOutage
 import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
@@ -26,6 +29,9 @@
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
+        name == "at-most-once" -> println(atMostOnce(seed.toLong()))
+        name == "log-outage" -> println(logOutage(seed.toLong()))
+        name == "limits" -> println(limits(seed.toLong()))
         name == "demo" -> Demo().use { it.run() }
         name == CAPACITY -> println(runCapacity(seed.toLong()))
         name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/capacity/ListSlopes.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/capacity/ListSlopes.kt
@@ -145,7 +145,7 @@
 private fun StringBuilder.appendService(service: Int, services: Int, targets: Int) {
     appendLine("  - name: service-$service")
     appendLine("    targets:")
-    (service until targets step services).forEach { target ->
+    for (target in service until targets step services) {
         val address = "10.${target / 65_536}.${target / 256 % 256}.${target % 256}:8080"
         appendLine(
             "      - { name: target-$target, zone: zone-${target % 8}, " +
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/FuzzAction.kt
@@ -14,6 +14,8 @@
 
 private const val MIN_NODES = 2
 private const val MAX_NODES = 5
+private const val REPEATABLE_ONE_IN = 8
+private const val BODY_BYTES = 100L
 private const val CLOCK_ERROR_MILLIS = 1_000
 
 /** A step of a run; [draw] decides its details. */
@@ -35,6 +37,9 @@
 
 private fun World.callersAct(kind: FuzzKind.OfCallers, random: Random): World = when (kind) {
     FuzzKind.Send -> send(random, newRequest(random, time))
+    FuzzKind.SendMany -> (1..random.nextInt(2, 40)).fold(this) { world, _ ->
+        world.send(random, world.newRequest(random, world.time))
+    }
     FuzzKind.SendOddKey -> send(random, newRequest(random, oddTime(random)))
     FuzzKind.Resend -> requests.pick(random)?.let { send(random, it) } ?: this
     FuzzKind.ResendChanged ->
@@ -51,7 +56,10 @@
 private fun World.logActs(kind: FuzzKind.OfLog, random: Random): World = when (kind) {
     FuzzKind.LogChanges -> copy(logMode = faultyLogModes.random(random))
     FuzzKind.LogRecovers -> copy(logMode = LogMode.Up)
-    FuzzKind.LogExpires -> copy(claims = claims.expire(random.nextInt(1, 20)))
+    FuzzKind.LogExpires -> copy(
+        claims = claims.expire(random.nextInt(1, 20)),
+        shares = shares.expire(random.nextInt(1, 20))
+    )
     FuzzKind.MessagesChange -> copy(messagesFail = !messagesFail)
 }
 
@@ -60,8 +68,7 @@
     FuzzKind.NodeCrashes -> if (nodes.size > MIN_NODES) crashNode(random) else this
     FuzzKind.NodePauses -> pick(random)?.let { update(it.copy(paused = true)) } ?: this
     FuzzKind.NodeResumes -> resume(random)
-    FuzzKind.ClockShifts ->
-        pick(random)?.let { update(it.copy(clockOffset = clockError(random))) } ?: this
+    FuzzKind.ClockShifts -> shiftClock(random)
 }
 
 private fun World.targetsAct(kind: FuzzKind.OfTargets, random: Random): World = when (kind) {
@@ -90,7 +97,8 @@
     return CallerRequest(
         IdempotencyKey(key),
         customerIds.random(random),
-        "booking ${requests.size}"
+        "booking ${requests.size}",
+        isRepeatable = random.nextInt(REPEATABLE_ONE_IN) == 0
     )
 }
 
@@ -104,26 +112,29 @@
         request.copy(customer = customerIds.first { it != request.customer })
     }
 
-private fun World.send(random: Random, request: CallerRequest): World {
-    val node = pick(random) ?: return this
+private fun World.send(random: Random, request: CallerRequest): World =
+    pick(random)?.let { send(it, request, millis(random.nextInt(100, 20_000))) } ?: this
+
+/** A caller sends [request] to [node] and waits for [timeout]. */
+internal fun World.send(node: Node, request: CallerRequest, timeout: Duration): World {
     val callId = CallId(lastCall + 1)
     val call = CallRequest(
         callId = callId,
         credential = PresentedCredential(CredentialId(request.customer.value), KEYED_HASH),
-        method = "POST",
+        method = if (request.isRepeatable) "GET" else "POST",
         path = "/bookings",
-        idempotencyKey = request.key,
+        idempotencyKey = request.key.takeUnless { request.isRepeatable },
         digest = RequestDigest(request.content),
-        deadline = clockOf(node).plus(millis(random.nextInt(100, 20_000))),
+        deadline = clockOf(node).plus(timeout),
         depth = 0,
         retriesAllowed = true,
-        bodyBytes = 100,
+        bodyBytes = BODY_BYTES,
         replayable = true
     )
     return copy(
         lastCall = callId.value,
         requests = if (request in requests) requests else requests.add(request),
-        oracle = oracle.sent(CopyRef(node.id, callId), request)
+        oracle = oracle.sent(CopyRef(node.id, callId), request, time)
     ).schedule(Duration.ZERO, Delivery.Calls(node.id, CallEvent.Arrived(call)))
 }
 
@@ -133,6 +144,13 @@
     return gone(node.id, callId)
 }
 
+private fun World.shiftClock(random: Random): World {
+    val node = pick(random) ?: return this
+    val offset = clockError(random)
+    val gain = maxOf(offset.minus(node.clockOffset), Duration.ZERO)
+    return update(node.copy(clockOffset = offset)).copy(clockGain = clockGain.plus(gain))
+}
+
 private fun World.crashNode(random: Random): World {
     val node = pick(random) ?: return this
     return copy(nodes = nodes.remove(node.id))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -4,6 +4,7 @@
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.limits.LimitsEvent
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.membership.RetainedBody
 import org.wisteriahinge.core.model.CallId
@@ -18,7 +19,9 @@
 private val SLOW_APPEND: Duration = Duration.ofMillis(500)
 
 internal fun World.perform(from: InstanceId, effect: CallEffect): World = when (effect) {
-    is CallEffect.Forward -> schedule(
+    is CallEffect.Forward -> copy(
+        oracle = oracle.forwarded(CopyRef(from, effect.callId), time)
+    ).schedule(
         RING_DELAY,
         Delivery.Transmit(from, AttemptRef(CopyRef(from, effect.callId), effect.attempt))
     )
@@ -34,6 +37,10 @@
     }
     is CallEffect.Claim -> schedule(RING_DELAY, Delivery.Once(from, effect.request))
     is CallEffect.EndClaim -> schedule(RING_DELAY, Delivery.Once(from, effect.ended))
+    is CallEffect.ReportDemand ->
+        schedule(RING_DELAY, Delivery.Limits(from, LimitsEvent.Demanded(effect.demands)))
+    // The world's routing neither probes nor shares loads between instances.
+    is CallEffect.Probe, is CallEffect.TellLoads -> this
     is CallEffect.ReportQuarantine, is CallEffect.SummarizeQuarantine -> this
     is CallEffect.Probe, is CallEffect.TellLoads -> this
     is CallEffect.Finished, is CallEffect.Count -> this
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -8,6 +8,7 @@
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
 import org.wisteriahinge.core.lifecycle.lifecycleChart
+import org.wisteriahinge.core.limits.leaseChart
 import org.wisteriahinge.core.membership.peerChart
 
 /** Every chart that the decisions interpret. */
@@ -23,6 +24,7 @@
         availabilityChart,
         configurationChart,
         lifecycleChart,
+        leaseChart,
         peerChart
     )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -25,14 +25,12 @@
     is CallEvent.CallerGone -> callerGone(event.callId, now)
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
-    is CallEvent.Configured -> configured(event.configuration)
-    is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
-    is CallEvent.ClaimSettled -> claimSettled(event, now)
-    is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
     is CallEvent.ProbeFailed -> probeFailed(event.target)
     is CallEvent.PeerLoads ->
         CallsDecision(copy(routing = routing.peerReported(event.loads, now)))
+    is CallEvent.MembersChanged -> membersChanged(event)
+    is CallEvent.Decided -> decided(event, now)
     CallEvent.Ticked -> ticked(now)
 }
 
@@ -46,6 +44,14 @@
             stepAttempt(event.callId, event.attemptId, AttemptTrigger.Truncated, now)
     }
 
+private fun CallsState.decided(event: CallEvent.Decided, now: Instant): CallsDecision =
+    when (event) {
+        is CallEvent.Configured -> configured(event.configuration)
+        is CallEvent.ClaimSettled -> claimSettled(event, now)
+        is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
+        is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
+    }
+
 private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
     val permits = LongPermits.among(event.live, event.self)
     return CallsDecision(
@@ -81,6 +87,7 @@
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
     .then { it.startHedges(now) }
+    .then { it.reportDemand(now) }
     .then { it.probe(now) }
     .then { it.tellPeers(now) }
 
