--- a/bench/src/main/kotlin/org/wisteriahinge/bench/capacity/ListSlopes.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/capacity/ListSlopes.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.getOrThrow
 import java.time.Instant
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.adapters.lists.readLists
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
@@ -24,6 +24,9 @@
 
 private const val TARGETS_PER_SERVICE = 19
 private const val CUSTOMERS = 100
+
+/** Instances that carry 720,000 calls a second at 1,800 each. */
+private const val FLEET = 400
 private const val CALLS = 20_000
 private const val PACE_NANOS = 500_000L
 private const val SERVICE_MILLIS = 5L
@@ -52,18 +55,23 @@
         val texts = texts(TARGET_COUNTS.first(), customers)
         Measured(texts, LIST_READS) { repeat(LIST_READS) { read(texts) } }
     },
-    measureSlope("tick of the calls duty", "targets", TARGET_COUNTS) { targets ->
+    measureSlope("tick of one of $FLEET instances", "targets", TARGET_COUNTS) { targets ->
+        val state = callsState(targets, CUSTOMERS, FLEET)
+        Measured(state, CALLS) { runTicks(state) }
+    },
+    measureSlope("tick of a lone instance", "targets", TARGET_COUNTS) { targets ->
         val state = callsState(targets, CUSTOMERS)
         Measured(state, CALLS) { runTicks(state) }
     }
 )
 
-private fun callsState(targets: Int, customers: Int): CallsState {
+private fun callsState(targets: Int, customers: Int, instances: Int = 1): CallsState {
     val self = InstanceId("instance-1")
+    val live = (1..instances).map { InstanceId("instance-$it") }.toPersistentSet()
     val routing = RoutingState(RoutingPolicy.Wisteriahinge(), Zone("zone-0"), seed = 1)
     return CallsState(Configuration.Empty, routing)
         .decide(CallEvent.Configured(read(texts(targets, customers))), START).state
-        .decide(CallEvent.MembersChanged(self, persistentSetOf(self)), START).state
+        .decide(CallEvent.MembersChanged(self, live), START).state
 }
 
 private fun read(texts: ListTexts): Configuration = readLists(texts, RevisionNumber(1))
