--- a/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/RunCommand.kt
@@ -6,8 +6,11 @@
 import kotlinx.cli.ExperimentalCli
 import org.wisteriahinge.app.ExitCode
 import org.wisteriahinge.app.Instance
+import org.wisteriahinge.app.settings.SettingValues
 import org.wisteriahinge.app.settings.Settings
 import org.wisteriahinge.app.settings.toInstanceSettings
+import org.wisteriahinge.charts.InvalidChartException
+import org.wisteriahinge.core.ChartCatalog
 
 private val logger = KotlinLogging.logger {}
 
@@ -15,9 +18,18 @@
 internal class RunCommand(context: CommandContext) :
     Command("run", "Run an instance until SIGTERM", context, Settings.ofInstance) {
     override fun run(): Int = withSettings { values ->
+        try {
+            ChartCatalog.loadAll()
+            serve(values)
+        } catch (e: InvalidChartException) {
+            failed(e.message ?: "a state chart is invalid; reinstall the binary")
+        }
+    }
+
+    private fun serve(values: SettingValues): Int {
         val settings = values.toInstanceSettings(seed = ProcessHandle.current().pid())
         val instance = Instance(settings, Clock.systemUTC())
-        try {
+        return try {
             val ports = instance.start()
             logger.info { "serving callers on port ${ports.caller}, admin on ${ports.admin}" }
             Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app.settings
 
 import java.time.Duration
+import org.wisteriahinge.adapters.caller.BodyLimits
 import org.wisteriahinge.app.CallSettings
 import org.wisteriahinge.app.InstanceSettings
 import org.wisteriahinge.app.LogSettings
@@ -27,7 +28,12 @@
     calls = CallSettings(
         defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
         maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
-        maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget)
+        maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
+        body = BodyLimits(
+            bufferedBytes = int(Settings.bodyBufferBytes),
+            bufferedTotalBytes = long(Settings.bodyMemoryBytes),
+            maxBytes = long(Settings.maxBodyBytes)
+        )
     ),
     process = ProcessSettings(
         adminHost = get(Settings.adminHost),
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -89,6 +89,24 @@
         "13",
         "Connections of this instance to one target; all instances together may open 250"
     )
+    val bodyBufferBytes = SettingSpec(
+        "body-buffer-bytes",
+        SettingKind.Whole("B", 0, 16_777_216),
+        "262144",
+        "Longest body that is kept in memory, so that it can be sent again"
+    )
+    val bodyMemoryBytes = SettingSpec(
+        "body-memory-bytes",
+        SettingKind.Whole("B", 0, 8_589_934_592),
+        "67108864",
+        "Memory for all bodies that are kept at a time"
+    )
+    val maxBodyBytes = SettingSpec(
+        "max-body-bytes",
+        SettingKind.Whole("B", 0, 1_099_511_627_776),
+        "8589934592",
+        "Longest body that is accepted"
+    )
     val onceWindowSeconds = SettingSpec(
         "once-window-s",
         SettingKind.Whole("s", 10, 86_400),
@@ -132,6 +150,9 @@
         defaultTimeoutMillis,
         maxTimeoutMillis,
         maxConnectionsPerTarget,
+        bodyBufferBytes,
+        bodyMemoryBytes,
+        maxBodyBytes,
         onceWindowSeconds,
         onceAppendsPerSecond,
         credentialKey,
--- a/core/src/main/kotlin/org/wisteriahinge/core/membership/PeerMessage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/membership/PeerMessage.kt
@@ -17,7 +17,7 @@
     public val from: InstanceId
 
     /**
-     * Sent periodically: the sender is here, and what it knows in brief.
+     * Sent periodically: the sender is here, with the most useful part of what it knows.
      *
      * [address] receives peer messages, so that a peer which the instance list does not show yet
      * can be answered. [sequence] grows with each period of the sender.
