--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
@@ -19,7 +19,7 @@
 
 /** Serves `/live`, `/ready`, `/metrics` and `/status` to operators and the platform. */
 public class AdminServer(
-    address: AdminAddress,
+    private val address: AdminAddress,
     private val view: AdminView,
     private val registry: PrometheusRegistry
 ) : Closeable {
@@ -38,7 +38,7 @@
     ) {
         routing {
             get("/live") { call.respondText("live\n") }
-            get("/ready") { ready(call) }
+            get(address.readyPath) { ready(call) }
             get("/metrics") { metrics(call) }
             get("/status") { status(call) }
         }
@@ -84,5 +84,9 @@
     }
 }
 
-/** Where the admin server listens. */
-public data class AdminAddress(val host: String, val port: Int)
+/** Where the admin server listens, and the path at which it tells whether the instance is ready. */
+public data class AdminAddress(
+    val host: String,
+    val port: Int,
+    val readyPath: String = "/ready"
+)
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import java.io.ByteArrayOutputStream
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.coroutines.channels.Channel
 import org.wisteriahinge.core.call.AttemptFailure
@@ -33,12 +35,12 @@
     fun truncated(detail: String)
 
     companion object {
-        /** The receiver for [response]; null when the end of its body could not be told. */
+        /** The receiver for [response]; a body without a length ends with its connection. */
         fun of(
             channel: NettyChannel,
             exchange: TargetExchange,
             response: HttpResponse
-        ): AnswerReceiver? {
+        ): AnswerReceiver {
             val head = AnswerHead(
                 response.status().code(),
                 response.headers().entries().map { HeaderField(it.key, it.value) }
@@ -47,12 +49,10 @@
             val declared = HttpUtil.getContentLength(response, -1L).takeIf { it >= 0 }
             return when {
                 response.hasNoBody(exchange) ->
-                    WholeReceiver(exchange, head, AnswerBody.Absent(declared))
-                HttpUtil.isTransferEncodingChunked(response) ->
-                    StreamReceiver(channel, exchange, head, null)
-                declared == null -> null
-                declared <= WHOLE_BODY_LIMIT_BYTES -> WholeReceiver(exchange, head)
-                else -> StreamReceiver(channel, exchange, head, declared)
+                    BodilessReceiver(exchange, head.with(AnswerBody.Absent(declared)))
+                declared != null && declared > WHOLE_BODY_LIMIT_BYTES ->
+                    StreamReceiver(channel, exchange, head, declared)
+                else -> CollectingReceiver(channel, exchange, head)
             }
         }
 
@@ -65,40 +65,65 @@
 /** Status and headers of an answer whose body is being received. */
 internal class AnswerHead(
     private val status: Int,
-    private val headers: kotlinx.collections.immutable.PersistentList<HeaderField>
+    private val headers: PersistentList<HeaderField>
 ) {
     fun with(body: AnswerBody) = BackendAnswer(status, headers, body)
 }
 
-/** Collects a short body, then hands the whole answer over. */
-private class WholeReceiver(
+/** An answer that consists of its head. */
+private class BodilessReceiver(
     private val exchange: TargetExchange,
-    private val head: AnswerHead,
-    private val absent: AnswerBody.Absent? = null
+    private val answer: BackendAnswer
+) : AnswerReceiver {
+    override fun start() = Unit
+
+    override fun accept(content: ByteBuf) = Unit
+
+    override fun complete() {
+        exchange.answer.complete(answer)
+    }
+
+    override fun truncated(detail: String) {
+        exchange.fail(AttemptFailure.Truncated, "the answer ended early ($detail)")
+    }
+}
+
+/**
+ * Collects a body and hands the whole answer over. A body of unknown length that grows beyond
+ * [WHOLE_BODY_LIMIT_BYTES] is passed on in pieces from there on.
+ */
+private class CollectingReceiver(
+    private val connection: NettyChannel,
+    private val exchange: TargetExchange,
+    private val head: AnswerHead
 ) : AnswerReceiver {
-    private var collected = Unpooled.EMPTY_BUFFER
+    private val collected = ByteArrayOutputStream()
+    private var stream: StreamReceiver? = null
 
     override fun start() = Unit
 
     override fun accept(content: ByteBuf) {
-        if (!content.isReadable) return
-        val bytes = ByteBufUtil.getBytes(content)
-        collected = if (collected.isReadable) {
-            Unpooled.wrappedBuffer(collected, Unpooled.wrappedBuffer(bytes))
-        } else {
-            Unpooled.wrappedBuffer(bytes)
-        }
+        val rest = stream
+        if (rest != null) return rest.accept(content)
+        content.readBytes(collected, content.readableBytes())
+        if (collected.size() > WHOLE_BODY_LIMIT_BYTES) stream = startStream()
     }
 
-    override fun complete() {
-        val body = absent ?: AnswerBody.Whole(ByteBufUtil.getBytes(collected, 0, size(), false))
-        exchange.answer.complete(head.with(body))
+    private fun startStream() = StreamReceiver(connection, exchange, head, null).apply {
+        start()
+        accept(Unpooled.wrappedBuffer(collected.toByteArray()))
     }
 
-    private fun size() = collected.readableBytes()
+    override fun complete() {
+        val rest = stream
+        if (rest != null) return rest.complete()
+        exchange.answer.complete(head.with(AnswerBody.Whole(collected.toByteArray())))
+    }
 
     override fun truncated(detail: String) {
-        exchange.fail(AttemptFailure.Disconnected, "the answer ended early ($detail)")
+        val rest = stream
+        if (rest != null) return rest.truncated(detail)
+        exchange.fail(AttemptFailure.Truncated, "the answer ended early ($detail)")
     }
 }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -8,7 +8,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import org.wisteriahinge.core.call.Attempt
+import org.wisteriahinge.core.model.Address
 
 /** Sends attempts to targets. Long answers are handed over before their bodies are read. */
 public class BackendClient(limits: ConnectionLimits) : Closeable {
@@ -20,7 +20,7 @@
     }
 
     /**
-     * Sends [request] to the target of [attempt] and passes the answer to [onAnswer].
+     * Sends [request] to the target at [address] and passes the answer to [onAnswer].
      *
      * The connection is closed when [onAnswer] returns without having read the whole body, and
      * when the coroutine is cancelled.
@@ -29,17 +29,17 @@
      * @throws BodyFaultException if the caller did not send the body as announced.
      */
     public suspend fun send(
-        attempt: Attempt,
+        address: Address,
         request: BackendRequest,
         onAnswer: suspend (BackendAnswer) -> Unit
     ) {
-        val exchange = TargetExchange(attempt.target.address, request)
+        val exchange = TargetExchange(address, request)
         try {
             coroutineScope {
                 val upload = launch { upload(exchange) }
                 client.prepareRequest {
                     method = HttpMethod.parse(request.method)
-                    url("http", attempt.target.address.host, attempt.target.address.port)
+                    url("http", address.host, address.port)
                     attributes.put(TargetExchangeKey, exchange)
                 }.execute { onAnswer(exchange.answer.await()) }
                 upload.cancel()
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
@@ -9,12 +9,18 @@
 /**
  * A request as it is sent to a target.
  *
- * [pathAndQuery] is sent byte for byte. [remaining] is the time until the head of the answer.
+ * [pathAndQuery] is sent byte for byte. [remaining] is the time until the head of the answer. An
+ * answer that carries another value in the header [echo] belongs to another request. [host] is
+ * sent as the `Host`, null for the target's address. A request that is not [isRepeatable] is sent
+ * only on a connection that was used a moment ago, or on a new one.
  */
 public class BackendRequest(
     public val method: String,
     public val pathAndQuery: String,
     public val headers: PersistentList<HeaderField>,
     public val body: RequestBody,
-    public val remaining: Duration
+    public val remaining: Duration,
+    public val echo: HeaderField? = null,
+    public val host: String? = null,
+    public val isRepeatable: Boolean = true
 )
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/NettyClientEngine.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/NettyClientEngine.kt
@@ -15,14 +15,10 @@
 import io.ktor.utils.io.InternalAPI
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.util.HashedWheelTimer
 import io.netty.util.concurrent.DefaultThreadFactory
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.Dispatchers
 
-/** Resolution of deadlines; a coarse tick keeps the timer's thread at 50 wake-ups a second. */
-private const val TIMER_TICK_MILLIS = 20L
-
 /**
  * A Ktor client engine on Netty, the transport of Ktor's server.
  *
@@ -39,11 +35,6 @@
         DefaultThreadFactory("backend-io", true),
         NioIoHandler.newFactory()
     )
-    private val timer = HashedWheelTimer(
-        DefaultThreadFactory("backend-deadlines", true),
-        TIMER_TICK_MILLIS,
-        TimeUnit.MILLISECONDS
-    )
     private val connections = TargetConnections(group, limits)
 
     override suspend fun execute(data: HttpRequestData): HttpResponseData {
@@ -62,12 +53,12 @@
     private suspend fun exchange(exchange: TargetExchange): BackendAnswer {
         val limitMillis = exchange.request.remaining.toMillis()
         val deadline =
-            timer.newTimeout({ exchange.expire() }, limitMillis, TimeUnit.MILLISECONDS)
+            group.schedule({ exchange.expire() }, limitMillis, TimeUnit.MILLISECONDS)
         try {
             connections.send(exchange)
             return exchange.answer.await()
         } finally {
-            deadline.cancel()
+            deadline.cancel(false)
         }
     }
 
@@ -75,6 +66,5 @@
         super.close()
         connections.close()
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
-        timer.stop()
     }
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/RequestWriter.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/RequestWriter.kt
@@ -68,8 +68,8 @@
     }
 
     private fun fill(headers: HttpHeaders) {
-        headers.set(HttpHeaderNames.HOST, exchange.address.toString())
         request.headers.forEach { (name, value) -> headers.add(name, value) }
+        headers.set(HttpHeaderNames.HOST, request.host ?: exchange.address.toString())
     }
 
     /** Passes the body on piece by piece, each after the one before was written to the socket. */
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -9,9 +9,11 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.time.Duration
 import org.wisteriahinge.core.call.AttemptFailure
 
 private const val FIRST_FINAL_STATUS = 200
+private const val TIMEOUT_PARAMETER = "timeout="
 
 /** What the connection waits for. */
 private sealed interface Reading {
@@ -21,8 +23,8 @@
     /** The head of the answer to [exchange]. */
     data class Head(val exchange: TargetExchange) : Reading
 
-    /** The end of an informational answer (status 1xx), after which the head follows. */
-    data class Interim(val exchange: TargetExchange) : Reading
+    /** The end of an answer that is not the awaited one, after which the head follows. */
+    data class Skipped(val exchange: TargetExchange) : Reading
 
     /** The body of the answer. */
     data class Body(
@@ -41,6 +43,14 @@
     ChannelInboundHandlerAdapter() {
     private var reading: Reading = Reading.Idle
     private var requestWritten = false
+    private var usedNanos = System.nanoTime()
+
+    /** For how long the target keeps an idle connection, by its last answer; null when unsaid. */
+    var keepAlive: Duration? = null
+        private set
+
+    /** Time since the connection was opened or its last answer ended. */
+    fun idleTime(): Duration = Duration.ofNanos(System.nanoTime() - usedNanos)
 
     /** The next answer belongs to [exchange]. */
     fun begin(exchange: TargetExchange) {
@@ -65,7 +75,7 @@
     private fun head(context: ChannelHandlerContext, response: HttpResponse) {
         when (val current = reading) {
             is Reading.Head -> answerHead(context, response, current.exchange)
-            Reading.Idle, is Reading.Interim, is Reading.Body -> context.close()
+            Reading.Idle, is Reading.Skipped, is Reading.Body -> context.close()
         }
     }
 
@@ -77,19 +87,36 @@
         if (response.decoderResult().isFailure) {
             return invalid(context, exchange, "the head is not valid HTTP")
         }
-        if (response.status().code() < FIRST_FINAL_STATUS) {
-            reading = Reading.Interim(exchange)
+        if (response.isInterim() || response.isForeign(exchange)) {
+            reading = Reading.Skipped(exchange)
             return
         }
         val receiver = AnswerReceiver.of(context.channel(), exchange, response)
-            ?: return invalid(context, exchange, "the body has neither a length nor chunks")
+        keepAlive = response.keepAliveTimeout()
         reading = Reading.Body(exchange, receiver, HttpUtil.isKeepAlive(response))
         receiver.start()
     }
 
+    private fun HttpResponse.isInterim(): Boolean = status().code() < FIRST_FINAL_STATUS
+
+    /** A second answer to an earlier request may arrive where the next answer is expected. */
+    private fun HttpResponse.isForeign(exchange: TargetExchange): Boolean {
+        val echo = exchange.request.echo ?: return false
+        val repeated = headers().get(echo.name) ?: return false
+        return repeated != echo.value
+    }
+
+    private fun HttpResponse.keepAliveTimeout(): Duration? = headers().get("Keep-Alive")
+        ?.split(',')
+        ?.map { it.trim() }
+        ?.firstOrNull { it.startsWith(TIMEOUT_PARAMETER, ignoreCase = true) }
+        ?.drop(TIMEOUT_PARAMETER.length)
+        ?.toLongOrNull()
+        ?.let(Duration::ofSeconds)
+
     private fun content(context: ChannelHandlerContext, content: HttpContent) {
         when (val current = reading) {
-            is Reading.Interim ->
+            is Reading.Skipped ->
                 if (content is LastHttpContent) reading = Reading.Head(current.exchange)
             is Reading.Body -> body(context, content, current)
             Reading.Idle, is Reading.Head -> Unit
@@ -107,6 +134,7 @@
 
     private fun end(context: ChannelHandlerContext, body: Reading.Body) {
         reading = Reading.Idle
+        usedNanos = System.nanoTime()
         body.exchange.detach()
         context.channel().config().isAutoRead = true
         if (!body.reusable || !requestWritten) context.close()
@@ -138,7 +166,7 @@
         when (current) {
             Reading.Idle -> return
             is Reading.Head -> current.exchange.fail(AttemptFailure.Disconnected, detail)
-            is Reading.Interim -> current.exchange.fail(AttemptFailure.Disconnected, detail)
+            is Reading.Skipped -> current.exchange.fail(AttemptFailure.Disconnected, detail)
             is Reading.Body -> current.receiver.truncated(detail)
         }
         onEnd(context.channel())
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.pool.AbstractChannelPoolHandler
 import io.netty.channel.pool.AbstractChannelPoolMap
-import io.netty.channel.pool.ChannelHealthChecker
 import io.netty.channel.pool.FixedChannelPool
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
@@ -22,11 +21,21 @@
 /** No deadline of a waiting exchange is checked here; the exchange itself expires. */
 private const val NO_ACQUIRE_TIMEOUT_MILLIS = -1L
 
-/** Bounds of the connections to each target. */
+/** Part of the time announced in `Keep-Alive` for which an idle connection is used again. */
+private const val REUSE_SHARE = 0.5
+
+/**
+ * Bounds of the connections to each target.
+ *
+ * A connection that was idle longer than [maxIdle] is not used again, and not for a request that
+ * may run once after [maxIdleForOnce].
+ */
 public data class ConnectionLimits(
     val perTarget: Int,
     val waitingPerTarget: Int = 256,
-    val connectTimeout: Duration = Duration.ofSeconds(1)
+    val connectTimeout: Duration = Duration.ofSeconds(1),
+    val maxIdle: Duration = Duration.ofSeconds(4),
+    val maxIdleForOnce: Duration = Duration.ofMillis(500)
 )
 
 /**
@@ -48,12 +57,30 @@
             val channel = acquired.now as Channel?
             when {
                 channel == null -> exchange.failToConnect(acquired.cause())
+                channel.isTooOldFor(exchange.request) -> {
+                    channel.close()
+                    pool.release(channel)
+                    send(exchange)
+                }
                 !exchange.connected(channel) -> pool.release(channel)
                 else -> RequestWriter(exchange).writeHead(channel)
             }
         }
     }
 
+    /** Whether the target may have closed the connection already, after [REUSE_SHARE] of its time. */
+    private fun Channel.isStale(): Boolean {
+        val handler = targetHandler() ?: return true
+        val limit = handler.keepAlive?.let { Duration.ofNanos((it.toNanos() * REUSE_SHARE).toLong()) }
+        return handler.idleTime() > (limit ?: limits.maxIdle)
+    }
+
+    /** A request that may run once is lost with a connection that the target has forgotten. */
+    private fun Channel.isTooOldFor(request: BackendRequest): Boolean {
+        val handler = targetHandler() ?: return true
+        return !request.isRepeatable && handler.idleTime() > limits.maxIdleForOnce
+    }
+
     private fun TargetExchange.failToConnect(cause: Throwable) {
         val detail = cause.message ?: cause.javaClass.simpleName
         if (cause is IllegalStateException) {
@@ -66,7 +93,7 @@
     private fun pool(address: Address): FixedChannelPool = FixedChannelPool(
         bootstrap(address),
         PoolHandler(address),
-        ChannelHealthChecker.ACTIVE,
+        { it.eventLoop().newSucceededFuture(it.isActive && !it.isStale()) },
         null,
         NO_ACQUIRE_TIMEOUT_MILLIS,
         limits.perTarget,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerCapture.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerCapture.kt
@@ -11,13 +11,13 @@
     fun add(piece: ByteArray)
 
     /** The whole answer was passed on. */
-    fun complete(answer: BackendAnswer)
+    fun complete(answer: BackendAnswer, rules: HeaderRules)
 
     /** Nobody wants a copy. */
     data object Off : AnswerCapture {
         override fun add(piece: ByteArray) = Unit
 
-        override fun complete(answer: BackendAnswer) = Unit
+        override fun complete(answer: BackendAnswer, rules: HeaderRules) = Unit
     }
 
     /** Copies for [listener] as long as its bound is kept. */
@@ -31,9 +31,9 @@
             if (fits) copy.write(piece) else copy.reset()
         }
 
-        override fun complete(answer: BackendAnswer) {
+        override fun complete(answer: BackendAnswer, rules: HeaderRules) {
             if (!fits) return
-            val headers = answer.headers.delivered().toPersistentList()
+            val headers = rules.delivered(answer.headers).toPersistentList()
             listener.delivered(
                 request,
                 CapturedAnswer(answer.status, headers, copy.toByteArray())
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerDelivery.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerDelivery.kt
@@ -55,12 +55,12 @@
 internal suspend fun deliver(
     call: ApplicationCall,
     answer: BackendAnswer,
-    stall: Duration,
+    services: ExchangeServices,
     capture: AnswerCapture
 ): DeliveryEnd {
     val status = HttpStatusCode.fromValue(answer.status)
     val headers = HeadersBuilder().apply {
-        answer.headers.delivered().forEach { append(it.name, it.value) }
+        services.rules.delivered(answer.headers).forEach { append(it.name, it.value) }
     }.build()
     return try {
         when (val body = answer.body) {
@@ -74,7 +74,7 @@
                 DeliveryEnd.Complete
             }
             is AnswerBody.Streamed -> {
-                val content = StreamedContent(status, headers, body, stall, capture)
+                val content = StreamedContent(status, headers, body, services.stall, capture)
                 call.respond(content)
                 content.end
             }
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerVerdict.kt
@@ -0,0 +1,84 @@
+package org.wisteriahinge.adapters.caller
+
+import java.time.Instant
+import org.wisteriahinge.adapters.AnswerProof
+import org.wisteriahinge.adapters.LoadFormat
+import org.wisteriahinge.adapters.NotRunFormat
+import org.wisteriahinge.adapters.WireDialect
+import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.core.call.AttemptFailure
+import org.wisteriahinge.core.model.LoadReport
+
+private const val UNAVAILABLE = 503
+private val SUCCESS = 200..299
+
+/** What an answer says about its attempt. */
+internal sealed interface AnswerVerdict {
+    /** The target ran the request, and this is its answer. */
+    data object Usable : AnswerVerdict
+
+    /** The answer is to be treated as [failure]. */
+    data class Failed(val failure: AttemptFailure) : AnswerVerdict
+}
+
+/** Judges [answer] by the statements that [WireDialect] knows. */
+internal fun WireDialect.judge(answer: BackendAnswer): AnswerVerdict {
+    val failure = notRunFailure(answer) ?: unprovenFailure(answer)
+    return failure?.let { AnswerVerdict.Failed(it) } ?: AnswerVerdict.Usable
+}
+
+/** The failure when the target states that it did not run the request; null otherwise. */
+private fun WireDialect.notRunFailure(answer: BackendAnswer): AttemptFailure? =
+    when (val format = notRun) {
+        is NotRunFormat.Reason ->
+            answer.header(format.header)?.takeIf { answer.status == UNAVAILABLE }?.let { reason ->
+                if (reason == format.draining) {
+                    AttemptFailure.TargetDraining
+                } else {
+                    AttemptFailure.Shed
+                }
+            }
+        is NotRunFormat.Marker -> when {
+            answer.status == format.wrongTarget -> AttemptFailure.WrongTarget
+            answer.header(format.header) != null -> AttemptFailure.Shed
+            else -> null
+        }
+    }
+
+private fun WireDialect.unprovenFailure(answer: BackendAnswer): AttemptFailure? =
+    when (val expected = proof) {
+        AnswerProof.None -> null
+        is AnswerProof.Echoed ->
+            AttemptFailure.InvalidAnswer.takeUnless { expected.isMetBy(answer) }
+    }
+
+private fun AnswerProof.Echoed.isMetBy(answer: BackendAnswer): Boolean = when {
+    answer.header("Content-Encoding") != null -> false
+    answer.status in SUCCESS ->
+        answer.header(stamp) != null && answer.header(requestId) != null
+    else -> answer.status !in promises
+}
+
+/** The load that the target reports with its answer; null when it reports none. */
+public fun WireDialect.loadReport(answer: BackendAnswer, now: Instant): LoadReport? {
+    val text = answer.header(load.header) ?: return null
+    return when (load) {
+        is LoadFormat.Slashed -> slashedLoad(text, now)
+        is LoadFormat.Listed -> listedLoad(text, now)
+    }
+}
+
+private fun slashedLoad(text: String, now: Instant): LoadReport? {
+    val parts = text.split('/')
+    val inFlight = parts.getOrNull(0)?.toIntOrNull() ?: return null
+    val slots = parts.getOrNull(1)?.toIntOrNull() ?: return null
+    return LoadReport(inFlight, slots, now)
+}
+
+private fun listedLoad(text: String, now: Instant): LoadReport? {
+    val parts = text.split(',').map { it.trim().toIntOrNull() }
+    val running = parts.getOrNull(0) ?: return null
+    val waiting = parts.getOrNull(1) ?: return null
+    val slots = parts.getOrNull(2) ?: return null
+    return LoadReport(running + waiting, slots, now, pacePercent = parts.getOrNull(3))
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/BodyReader.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/BodyReader.kt
@@ -26,7 +26,6 @@
 public data class BodyLimits(
     val bufferedBytes: Int = 256 * BYTES_PER_KIB,
     val bufferedTotalBytes: Long = 64L * BYTES_PER_KIB * BYTES_PER_KIB,
-    val maxBytes: Long = 8L * BYTES_PER_KIB * BYTES_PER_KIB * BYTES_PER_KIB,
     val stall: Duration = Duration.ofSeconds(10)
 )
 
@@ -46,14 +45,15 @@
     suspend fun read(
         head: RequestHead,
         content: ByteReadChannel,
-        connection: NettyChannel
+        connection: NettyChannel,
+        maxBytes: Long
     ): Result<ReadBody, RefusalReason> {
-        val source = CallerBody(content, limits, connection)
+        val source = CallerBody(content, limits.stall, maxBytes, connection)
         val reservedBytes = head.contentLength ?: limits.bufferedBytes.toLong()
         val kib = (reservedBytes / BYTES_PER_KIB + 1).toInt()
         return when {
             !head.hasBody -> Ok(ReadBody(RequestBody.None))
-            reservedBytes > limits.maxBytes -> Err(RefusalReason.BodyTooLarge)
+            reservedBytes > maxBytes -> Err(RefusalReason.BodyTooLarge)
             reservedBytes > limits.bufferedBytes || !freeKib.tryAcquire(kib) ->
                 Ok(ReadBody(RequestBody.Once(head.contentLength, source)))
             else -> buffer(head, source) { freeKib.release(kib) }
@@ -87,18 +87,19 @@
 /** The bytes that a caller sends, with the limits on its size and pace. */
 private class CallerBody(
     private val content: ByteReadChannel,
-    private val limits: BodyLimits,
+    private val stall: Duration,
+    private val maxBytes: Long,
     private val connection: NettyChannel
 ) : BodySource {
     private val buffer = ByteArray(PIECE_BYTES)
     private var receivedBytes = 0L
 
     override suspend fun next(): ByteArray? {
-        val count = withTimeoutOrNull(limits.stall.toMillis()) { content.readAvailable(buffer) }
+        val count = withTimeoutOrNull(stall.toMillis()) { content.readAvailable(buffer) }
             ?: throw BodyFaultException(RefusalReason.SlowSender)
         if (count < 0) return end()
         receivedBytes += count
-        if (receivedBytes > limits.maxBytes) throw BodyFaultException(RefusalReason.BodyTooLarge)
+        if (receivedBytes > maxBytes) throw BodyFaultException(RefusalReason.BodyTooLarge)
         return buffer.copyOf(count)
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -139,15 +139,18 @@
         chosen: CompletableDeferred<Unit>,
         delivery: CompletableDeferred<Delivery>
     ) {
-        val outgoing = forwarded.toTarget(attempt, services.clock.instant())
+        val dialect = services.dialect
+        val outgoing = forwarded.toTarget(attempt, services.clock.instant(), dialect)
         if (outgoing.remaining.toMillis() <= 0) return fail(attempt, AttemptFailure.NotSent)
         val sentNanos = System.nanoTime()
         try {
-            services.backend.send(attempt, outgoing) { answer ->
+            services.backend.send(attempt.target.address, outgoing) { answer ->
                 val targetTime = Duration.ofNanos(System.nanoTime() - sentNanos)
-                val load = answer.loadReport(services.clock.instant())
-                val notRun = answer.notRunFailure()
-                if (notRun != null) return@send fail(attempt, notRun, load)
+                val load = dialect.loadReport(answer, services.clock.instant())
+                when (val verdict = dialect.judge(answer)) {
+                    is AnswerVerdict.Failed -> return@send fail(attempt, verdict.failure, load)
+                    AnswerVerdict.Usable -> Unit
+                }
                 val atOnce = choice.deliversAtOnce(attempt, answer.status)
                 gateway.report(
                     CallEvent.Answered(request.callId, attempt.id, answer.status, load)
@@ -169,8 +172,8 @@
 
     private suspend fun deliver(answer: BackendAnswer): DeliveryEnd {
         val capture = AnswerCapture.of(request, services.answerListener)
-        val end = deliver(call, answer, services.stall, capture)
-        if (end == DeliveryEnd.Complete) capture.complete(answer)
+        val end = deliver(call, answer, services, capture)
+        if (end == DeliveryEnd.Complete) capture.complete(answer, services.rules)
         return end
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallGateway.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallGateway.kt
@@ -19,6 +19,7 @@
 public class CallGateway(private val inbox: Ring<CallMessage>, private val maxCalls: Int) {
     private val places = Semaphore(maxCalls)
     private val draining = AtomicBoolean()
+    private val leaving = AtomicBoolean()
     private val lastCallId = AtomicLong()
 
     /** A new id for a call. */
@@ -27,6 +28,9 @@
     /** Whether new calls are refused because the instance is stopping. */
     public val isDraining: Boolean get() = draining.get()
 
+    /** Whether callers are to use other connections, because the instance is leaving. */
+    public val isLeaving: Boolean get() = leaving.get()
+
     /** Calls between their arrival and the end of their answer. */
     public val callsInProgress: Int get() = maxCalls - places.availablePermits()
 
@@ -43,8 +47,14 @@
         return entry
     }
 
+    /** Asks callers to close their connections after each answer. */
+    public fun announceLeaving() {
+        leaving.set(true)
+    }
+
     /** Refuses calls from now on; calls in progress go on. */
     public fun drain() {
+        leaving.set(true)
         draining.set(true)
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
@@ -12,21 +12,25 @@
 import io.ktor.server.netty.Netty
 import io.ktor.server.response.header
 import io.netty.channel.ChannelPipeline
+import io.netty.channel.group.DefaultChannelGroup
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.util.concurrent.GlobalEventExecutor
 import java.io.Closeable
 import java.time.Clock
 import java.time.Duration
 import kotlinx.coroutines.runBlocking
+import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.core.call.CallCounter
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.model.CallerBounds
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.runtime.EffectSink
 
-private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofSeconds(1)
+private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofMillis(250)
 
 /** Where the caller server listens and the bounds that it sets on callers. */
 public data class CallerServerSettings(
@@ -35,10 +39,9 @@
     val defaultTimeout: Duration,
     val maxTimeout: Duration,
     val body: BodyLimits = BodyLimits(),
-    val maxHeadBytes: Int = 16 * 1_024,
-    val headTimeout: Duration = Duration.ofSeconds(10),
-    val idleTimeout: Duration = Duration.ofSeconds(75),
-    val answerStall: Duration = Duration.ofSeconds(30)
+    val bounds: CallerBounds = CallerBounds(),
+    val answerStall: Duration = Duration.ofSeconds(30),
+    val dialect: WireDialect = WireDialect.Own
 )
 
 /** What the caller server works with. */
@@ -64,8 +67,14 @@
         parts.backend,
         parts.clock,
         settings.answerStall,
-        parts.answerListener
+        parts.answerListener,
+        settings.dialect
     )
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+
+    @Volatile
+    private var bounds = settings.bounds
+
     private val server = embeddedServer(
         Netty,
         configure = {
@@ -85,14 +94,15 @@
 
     private fun codec() = HttpServerCodec(
         HttpDecoderConfig()
-            .setMaxInitialLineLength(settings.maxHeadBytes)
-            .setMaxHeaderSize(settings.maxHeadBytes)
+            .setMaxInitialLineLength(bounds.maxHeadBytes)
+            .setMaxHeaderSize(bounds.maxHeadBytes)
             .setStrictLineParsing(true)
             .setHeadersFactory(StrictHeadersFactory)
     )
 
     private fun ChannelPipeline.addFraming() {
-        val pace = HeadTimeoutHandler(settings.headTimeout, settings.idleTimeout)
+        connections.add(channel())
+        val pace = HeadTimeoutHandler(::bounds)
         val framing = FramingHandler(pace, { gateway.nextCallId().toString() }, ::countRefused)
         addFirst(pace)
         addAfter(context(HttpServerCodec::class.java).name(), "framing", framing)
@@ -102,6 +112,16 @@
         parts.counters.perform(CallCounter.Refused(reason))
     }
 
+    /** Sets the bounds on callers; those on the size of a head hold for new connections. */
+    public fun limit(bounds: CallerBounds) {
+        this.bounds = bounds
+    }
+
+    /** Closes the connections on which no request is in progress, now and after each answer. */
+    public fun closeIdle() {
+        connections.forEach { it.pipeline().fireUserEventTriggered(CloseIdle) }
+    }
+
     /**
      * Starts listening and returns the port in use.
      *
@@ -114,9 +134,9 @@
 
     private suspend fun serve(call: ApplicationCall) {
         val callId = gateway.nextCallId()
-        val refuser = Refuser(call, callId)
-        if (gateway.isDraining) call.response.header(HttpHeaders.Connection, "close")
-        val read = reader.read(call, callId).getOrElse { reason ->
+        val refuser = Refuser(call, callId, settings.dialect.fractionalRetryAfter)
+        if (gateway.isLeaving) call.response.header(HttpHeaders.Connection, "close")
+        val read = reader.read(call, callId, bounds).getOrElse { reason ->
             countRefused(reason)
             return refuser.refuse(Refusal(reason, Execution.NotRun))
         }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -4,20 +4,15 @@
 import java.time.Duration
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
-import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.adapters.Nesting
+import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
-import org.wisteriahinge.adapters.backend.BackendAnswer
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.BackendRequest
 import org.wisteriahinge.adapters.backend.HeaderField
 import org.wisteriahinge.adapters.backend.RequestBody
 import org.wisteriahinge.core.call.Attempt
-import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallRequest
-import org.wisteriahinge.core.model.LoadReport
-
-private const val UNAVAILABLE = 503
-private const val DRAINING = "draining"
 
 /** What every exchange uses. */
 internal class ExchangeServices(
@@ -25,14 +20,22 @@
     val backend: BackendClient,
     val clock: Clock,
     val stall: Duration,
-    val answerListener: AnswerListener?
-)
+    val answerListener: AnswerListener?,
+    val dialect: WireDialect
+) {
+    val rules = HeaderRules(dialect)
+}
 
-/** A caller's request with the parts that decisions do not need. */
+/**
+ * A caller's request with the parts that decisions do not need.
+ *
+ * [echo] is the header that an answer to it repeats, null where answers repeat nothing.
+ */
 internal class ForwardedCall(
     val request: CallRequest,
     private val headers: PersistentList<HeaderField>,
-    private val body: RequestBody
+    private val body: RequestBody,
+    private val echo: HeaderField?
 ) {
     /** Whether another attempt can send the whole body. */
     val isReplayable: Boolean
@@ -41,42 +44,35 @@
             is RequestBody.Once -> !body.isUsed
         }
 
-    /** The request as [attempt] sends it at [now]. */
-    fun toTarget(attempt: Attempt, now: Instant): BackendRequest {
+    /** The request as [attempt] sends it at [now] to a target that speaks [dialect]. */
+    fun toTarget(attempt: Attempt, now: Instant, dialect: WireDialect): BackendRequest {
         val remaining = Duration.between(now, attempt.deadline)
+        val own = listOfNotNull(
+            HeaderField(dialect.timeoutMillis, remaining.toMillis().toString()),
+            dialect.expectedTarget?.let { HeaderField(it, attempt.target.id.value) }
+        )
         return BackendRequest(
             method = request.method,
             pathAndQuery = request.path,
-            headers = headers.addAll(ownHeaders(attempt, remaining)),
+            headers = headers.addAll(own).addAll(nestingHeaders(attempt, dialect)),
             body = body,
-            remaining = remaining
+            remaining = remaining,
+            echo = echo,
+            host = request.host?.takeIf { dialect.keepsHost },
+            isRepeatable = attempt.isRepeatable
         )
     }
 
-    private fun ownHeaders(attempt: Attempt, remaining: Duration): List<HeaderField> =
-        listOfNotNull(
-            HeaderField(WireHeaders.TIMEOUT_MILLIS, remaining.toMillis().toString()),
-            HeaderField(WireHeaders.DEPTH, (request.depth + 1).toString()),
-            HeaderField(WireHeaders.ATTEMPT, attempt.number.toString()),
-            HeaderField(WireHeaders.NO_RETRY, "1").takeIf { attempt.noRetry },
-            request.idempotencyKey?.let { HeaderField(WireHeaders.IDEMPOTENCY_KEY, it.value) }
-        )
-}
-
-/** The load that the target reports with its answer; null when it reports none. */
-internal fun BackendAnswer.loadReport(now: Instant): LoadReport? {
-    val parts = header(WireHeaders.LOAD)?.split('/') ?: return null
-    val inFlight = parts.getOrNull(0)?.toIntOrNull() ?: return null
-    val slots = parts.getOrNull(1)?.toIntOrNull() ?: return null
-    return LoadReport(inFlight, slots, now)
-}
-
-/** The failure when the target states that it did not run the request; null otherwise. */
-internal fun BackendAnswer.notRunFailure(): AttemptFailure? {
-    val reason = header(WireHeaders.NOT_RUN)?.takeIf { status == UNAVAILABLE } ?: return null
-    return if (reason == DRAINING) AttemptFailure.TargetDraining else AttemptFailure.Shed
+    private fun nestingHeaders(attempt: Attempt, dialect: WireDialect): List<HeaderField> =
+        when (dialect.nesting) {
+            Nesting.Unannounced -> emptyList()
+            Nesting.Announced -> listOfNotNull(
+                HeaderField(WireHeaders.DEPTH, (request.depth + 1).toString()),
+                HeaderField(WireHeaders.ATTEMPT, attempt.number.toString()),
+                HeaderField(WireHeaders.NO_RETRY, "1").takeIf { attempt.noRetry },
+                request.idempotencyKey?.let {
+                    HeaderField(WireHeaders.IDEMPOTENCY_KEY, it.value)
+                }
+            )
+        }
 }
-
-/** The headers of [all] that targets get, ready to be sent with each attempt. */
-internal fun forwardedHeaders(all: List<HeaderField>): PersistentList<HeaderField> =
-    all.forwarded().toPersistentList()
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
@@ -1,7 +1,12 @@
 package org.wisteriahinge.adapters.caller
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashSetOf
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.adapters.AnswerProof
+import org.wisteriahinge.adapters.Nesting
+import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
 import org.wisteriahinge.adapters.backend.HeaderField
 
@@ -19,28 +24,51 @@
 )
 
 /** Written anew for each message, or answered by this instance. */
-private val REWRITTEN = persistentHashSetOf("content-length", "host", "expect")
+private val REWRITTEN = persistentHashSetOf("content-length", "expect")
 
-/** Exchanged between instances and targets only; the sender's own values are not passed on. */
-private val OWN_HEADERS = persistentHashSetOf(
-    WireHeaders.TIMEOUT_MILLIS.lowercase(),
+private val NESTING_HEADERS = listOf(
     WireHeaders.DEPTH.lowercase(),
     WireHeaders.ATTEMPT.lowercase(),
-    WireHeaders.NO_RETRY.lowercase(),
-    WireHeaders.LOAD.lowercase(),
-    WireHeaders.NOT_RUN.lowercase()
+    WireHeaders.NO_RETRY.lowercase()
 )
 
-private val NOT_FORWARDED = HOP_BY_HOP.addAll(REWRITTEN).addAll(OWN_HEADERS)
-    .addAll(listOf("authorization", WireHeaders.IDEMPOTENCY_KEY.lowercase()))
+/** Which headers are passed on where callers and targets speak [dialect]. */
+internal class HeaderRules(private val dialect: WireDialect) {
+    // Exchanged between instances and targets only; a sender's own values are not passed on.
+    private val ownHeaders = HOP_BY_HOP.addAll(REWRITTEN).addAll(
+        listOfNotNull(
+            dialect.timeoutMillis.lowercase(),
+            dialect.load.header.lowercase(),
+            dialect.notRun.header.lowercase(),
+            dialect.expectedTarget?.lowercase(),
+            dialect.targetId?.lowercase()
+        )
+    ).addAll(nestingHeaders())
 
-private val NOT_DELIVERED = HOP_BY_HOP.addAll(REWRITTEN).addAll(OWN_HEADERS)
+    private val notForwarded = ownHeaders.addAll(dialect.withheld)
+        .let { if (dialect.keepsHost) it else it.add("host") }
 
-/** The caller's headers that are passed on to a target. */
-internal fun List<HeaderField>.forwarded(): List<HeaderField> = without(NOT_FORWARDED)
+    private val notDelivered = ownHeaders.add("host")
 
-/** The target's headers that are passed on to the caller. */
-internal fun List<HeaderField>.delivered(): List<HeaderField> = without(NOT_DELIVERED)
+    private fun nestingHeaders(): List<String> = when (dialect.nesting) {
+        Nesting.Announced -> NESTING_HEADERS
+        Nesting.Unannounced -> emptyList()
+    }
+
+    /** The caller's headers that are passed on to a target. */
+    fun forwarded(all: List<HeaderField>): PersistentList<HeaderField> =
+        all.without(notForwarded).toPersistentList()
+
+    /** The target's headers that are passed on to the caller. */
+    fun delivered(all: List<HeaderField>): List<HeaderField> = all.without(notDelivered)
+
+    /** The header by which an answer shows that it belongs to the request with [headers]. */
+    fun echoOf(headers: List<HeaderField>): HeaderField? = when (val proof = dialect.proof) {
+        AnswerProof.None -> null
+        is AnswerProof.Echoed ->
+            headers.firstOrNull { it.name.equals(proof.requestId, ignoreCase = true) }
+    }
+}
 
 private fun List<HeaderField>.without(names: PersistentSet<String>): List<HeaderField> {
     val named = filter { it.name.equals("Connection", ignoreCase = true) }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/Refuser.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/Refuser.kt
@@ -8,16 +8,25 @@
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import io.netty.channel.Channel
+import java.math.BigDecimal
+import java.time.Duration
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Refusal
 
+private const val MILLI_DIGITS = 3
+private const val MILLIS_PER_SECOND = 1_000L
+
 /** Answers callers on behalf of the load balancer itself. */
-internal class Refuser(private val call: ApplicationCall, private val callId: CallId) {
+internal class Refuser(
+    private val call: ApplicationCall,
+    private val callId: CallId,
+    private val fractionalRetryAfter: Boolean
+) {
     /** Sends [refusal] as a problem document; aborts when part of an answer was sent before. */
     suspend fun refuse(refusal: Refusal) {
         if (call.response.isCommitted) return abort()
         refusal.retryAfter?.let {
-            call.response.header(HttpHeaders.RetryAfter, it.toSeconds().coerceAtLeast(1))
+            call.response.header(HttpHeaders.RetryAfter, secondsOf(it))
         }
         // A body that was not read would be taken for the next request.
         if (call.hasUnreadBody() && call.response.headers[HttpHeaders.Connection] == null) {
@@ -35,6 +44,12 @@
         call.nettyChannel().close()
     }
 
+    private fun secondsOf(delay: Duration): String = if (fractionalRetryAfter) {
+        BigDecimal.valueOf(delay.toMillis(), MILLI_DIGITS).toPlainString()
+    } else {
+        delay.plusMillis(MILLIS_PER_SECOND - 1).toSeconds().coerceAtLeast(1).toString()
+    }
+
     private fun ApplicationCall.hasUnreadBody(): Boolean {
         val headers = request.headers
         return headers[HttpHeaders.TransferEncoding] != null ||
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RequestHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RequestHead.kt
@@ -5,9 +5,12 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.toResultOr
 import io.ktor.http.Headers
 import java.time.Duration
+import org.wisteriahinge.adapters.Nesting
+import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
 import org.wisteriahinge.core.model.IdempotencyKey
 import org.wisteriahinge.core.model.RefusalReason
@@ -37,7 +40,8 @@
 internal fun readHead(
     method: String,
     target: String,
-    headers: Headers
+    headers: Headers,
+    dialect: WireDialect
 ): Result<RequestHead, RefusalReason> = binding {
     checkTarget(target).bind()
     RequestHead(
@@ -45,14 +49,24 @@
         target = target,
         contentLength = headers.number("Content-Length").bind(),
         chunked = headers["Transfer-Encoding"] != null,
-        timeout = headers.number(WireHeaders.TIMEOUT_MILLIS).bind()?.let(Duration::ofMillis),
-        depth = headers.number(WireHeaders.DEPTH).bind()
-            ?.coerceAtMost(Int.MAX_VALUE.toLong())?.toInt() ?: 0,
-        retriesAllowed = headers[WireHeaders.NO_RETRY] == null,
-        idempotencyKey = headers.key().bind()
+        timeout = headers.number(dialect.timeoutMillis).bind()?.let(Duration::ofMillis),
+        depth = headers.depth(dialect.nesting).bind(),
+        retriesAllowed = headers.allowRetries(dialect.nesting),
+        idempotencyKey = headers.key(dialect.nesting).bind()
     )
 }
 
+private fun Headers.depth(nesting: Nesting): Result<Int, RefusalReason> = when (nesting) {
+    Nesting.Unannounced -> Ok(0)
+    Nesting.Announced -> number(WireHeaders.DEPTH)
+        .map { it?.coerceAtMost(Int.MAX_VALUE.toLong())?.toInt() ?: 0 }
+}
+
+private fun Headers.allowRetries(nesting: Nesting): Boolean = when (nesting) {
+    Nesting.Unannounced -> true
+    Nesting.Announced -> this[WireHeaders.NO_RETRY] == null
+}
+
 // A target that resolves dot segments or encoded slashes would run another operation than the
 // one that was matched and entitled here.
 private fun checkTarget(target: String): Result<Unit, RefusalReason> {
@@ -74,7 +88,13 @@
         .toResultOr { RefusalReason.MalformedRequest }
 }
 
-private fun Headers.key(): Result<IdempotencyKey?, RefusalReason> {
+private fun Headers.key(nesting: Nesting): Result<IdempotencyKey?, RefusalReason> =
+    when (nesting) {
+        Nesting.Unannounced -> Ok(null)
+        Nesting.Announced -> ownKey()
+    }
+
+private fun Headers.ownKey(): Result<IdempotencyKey?, RefusalReason> {
     val values = getAll(WireHeaders.IDEMPOTENCY_KEY) ?: return Ok(null)
     return values.singleOrNull()
         ?.takeIf { it.length == KEY_LENGTH && UuidValidator.isValid(it, KEY_VERSION) }
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RefusalOnTheWireTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RefusalOnTheWireTest.kt
@@ -187,8 +187,11 @@
         val target = RawTarget { answer("must not be reached") }
         val fixture = CallerFixture(listOf(target)) {
             it.copy(
-                body = BodyLimits(maxBytes = 1_000_000, stall = Duration.ofMillis(300)),
-                headTimeout = Duration.ofMillis(400)
+                body = BodyLimits(stall = Duration.ofMillis(300)),
+                bounds = CallerBounds(
+                    maxBodyBytes = 1_000_000,
+                    headTimeout = Duration.ofMillis(400)
+                )
             )
         }
         fixture.use {
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
@@ -0,0 +1,117 @@
+package org.wisteriahinge.app
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.Closeable
+import java.time.Clock
+import java.time.Duration
+import org.wisteriahinge.adapters.backend.BackendClient
+import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.backend.LoadProber
+import org.wisteriahinge.adapters.backend.ProbeReader
+import org.wisteriahinge.adapters.caller.AnswerListener
+import org.wisteriahinge.adapters.caller.CallGateway
+import org.wisteriahinge.adapters.caller.CallLog
+import org.wisteriahinge.adapters.caller.CallerServer
+import org.wisteriahinge.adapters.caller.CallerServerParts
+import org.wisteriahinge.adapters.caller.CallerServerSettings
+import org.wisteriahinge.adapters.caller.CredentialHasher
+import org.wisteriahinge.adapters.metrics.CallMetrics
+import org.wisteriahinge.adapters.metrics.InstanceMetrics
+import org.wisteriahinge.core.call.CallEffect
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.model.CallerBounds
+import org.wisteriahinge.runtime.CallMessage
+import org.wisteriahinge.runtime.CallsDuty
+import org.wisteriahinge.runtime.EffectSink
+import org.wisteriahinge.runtime.Offer
+import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.offerWaiting
+
+private const val CALLS_RING_CAPACITY = 8_192
+private const val MAX_CALLS = 1_024
+private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
+
+/** Where calls come from and go to. */
+internal class CallPathSettings(
+    val server: CallerServerSettings,
+    val connections: ConnectionLimits,
+    val credentialKey: String,
+    val probeReader: ProbeReader
+)
+
+/** The duty of calls with the adapters that feed it and carry out its effects. */
+internal class CallPath(
+    settings: CallPathSettings,
+    initial: CallsState,
+    registry: PrometheusRegistry,
+    clock: Clock,
+    private val others: EffectSink<CallEffect>,
+    answers: (CallGateway) -> AnswerListener? = { null }
+) : Closeable {
+    private val metrics = CallMetrics(registry)
+    val ring = Ring<CallMessage>(
+        "calls",
+        CALLS_RING_CAPACITY,
+        reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
+    )
+    val gateway = CallGateway(ring, MAX_CALLS)
+    private val duty = CallsDuty(ring, initial, ::perform, clock)
+    private val process = InstanceMetrics(registry, gateway::callsInProgress)
+    private val backend = BackendClient(settings.connections)
+    private val prober = LoadProber(backend, settings.probeReader, clock) { offer(it) }
+    private val server = CallerServer(
+        settings.server,
+        CallerServerParts(
+            gateway = gateway,
+            backend = backend,
+            hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
+            clock = clock,
+            counters = metrics::count,
+            observer = CallLog { it.added?.let(process::added) },
+            answerListener = answers(gateway)
+        )
+    )
+
+    /** Hands [event] over unless the ring is full; for events that are repeated. */
+    fun offer(event: CallEvent): Offer = ring.offer(CallMessage(event))
+
+    /** Hands [event] over, waiting while the ring is full. */
+    fun offerWaiting(event: CallEvent) {
+        ring.offerWaiting(CallMessage(event))
+    }
+
+    fun limit(bounds: CallerBounds) = server.limit(bounds)
+
+    fun closeIdleConnections() = server.closeIdle()
+
+    fun startDuty() = duty.start()
+
+    /**
+     * Starts listening for callers and returns the port in use.
+     *
+     * @throws java.net.BindException if the address is in use.
+     */
+    fun listen(): Int = server.start()
+
+    private fun perform(effect: CallEffect) {
+        when (effect) {
+            is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Probe -> prober.probe(effect.target, effect.path)
+            is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
+            is CallEffect.Claim,
+            is CallEffect.EndClaim,
+            is CallEffect.ReportDemand,
+            is CallEffect.ReportQuarantine,
+            is CallEffect.SummarizeQuarantine,
+            is CallEffect.TellLoads -> others.perform(effect)
+        }
+    }
+
+    override fun close() {
+        server.close()
+        prober.close()
+        duty.stop(STOP_TIMEOUT)
+        backend.close()
+    }
+}
--- a/app/src/main/kotlin/org/wisteriahinge/app/CommandLine.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CommandLine.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.app.command.CheckCommand
 import org.wisteriahinge.app.command.Command
 import org.wisteriahinge.app.command.CommandContext
+import org.wisteriahinge.app.command.FrontCommand
 import org.wisteriahinge.app.command.HashSecretCommand
 import org.wisteriahinge.app.command.HelpCommand
 import org.wisteriahinge.app.command.PublishCommand
@@ -24,6 +25,7 @@
 internal class CommandLine(private val context: CommandContext) {
     private val commands: PersistentList<Command> = persistentListOf(
         RunCommand(context),
+        FrontCommand(context),
         CheckCommand(context),
         PublishCommand(context),
         ShowCommand(context),
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -12,18 +12,10 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.adapters.admin.AdminAddress
 import org.wisteriahinge.adapters.admin.AdminServer
-import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
-import org.wisteriahinge.adapters.backend.LoadProber
-import org.wisteriahinge.adapters.caller.CallGateway
-import org.wisteriahinge.adapters.caller.CallLog
-import org.wisteriahinge.adapters.caller.CallerServer
-import org.wisteriahinge.adapters.caller.CallerServerParts
+import org.wisteriahinge.adapters.backend.LoadDocumentReader
 import org.wisteriahinge.adapters.caller.CallerServerSettings
-import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.log.HttpPlatformLog
-import org.wisteriahinge.adapters.metrics.CallMetrics
-import org.wisteriahinge.adapters.metrics.InstanceMetrics
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
@@ -45,24 +37,15 @@
 import org.wisteriahinge.core.routing.RoutingPolicy
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.runtime.AppendRequest
-import org.wisteriahinge.runtime.CallMessage
-import org.wisteriahinge.runtime.CallsDuty
 import org.wisteriahinge.runtime.LifecycleDuty
 import org.wisteriahinge.runtime.LogDuty
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
-import org.wisteriahinge.runtime.TimerDuty
-import org.wisteriahinge.runtime.offerWaiting
 
 private val logger = KotlinLogging.logger {}
 
-private const val CALLS_RING_CAPACITY = 8_192
-private const val MAX_CALLS = 1_024
 private const val LOG_RING_CAPACITY = 1_024
 
-/** Period of hedges, queue deadlines and probes; short against the answer times of targets. */
-private val TICK: Duration = Duration.ofMillis(20)
-
 /** Share of short answers that arrive before a hedge starts. */
 private const val HEDGE_QUANTILE = 0.98
 
@@ -73,17 +56,17 @@
     PeerListener,
     Closeable {
     private val registry = PrometheusRegistry()
-    private val metrics = CallMetrics(registry)
-    private val callsRing = Ring<CallMessage>(
-        "calls",
-        CALLS_RING_CAPACITY,
-        reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
-    )
-    private val calls = CallsDuty(callsRing, initialState(), ::perform, clock)
-    private val timer = TimerDuty("calls", TICK) { callsRing.offer(CallMessage(CallEvent.Ticked)) }
     private val log = HttpPlatformLog(settings.logUrl, settings.log.timeout)
     private val logRing = Ring<AppendRequest>("log", LOG_RING_CAPACITY)
     private val logDuty = LogDuty(logRing, log)
+    private val path = CallPath(
+        pathSettings(),
+        initialState(),
+        registry,
+        clock,
+        ::perform,
+        answers = { AnswerRetention(it, settings.once.maxAnswerBytes) }
+    )
     private val network = settings.peers?.let { PeerNetwork(it, registry, this, clock) }
     private val configuration = ConfigurationPart(
         settings.log.configurationTiming,
@@ -99,41 +82,38 @@
         settings.once,
         log,
         logRing,
-        callsRing,
+        path.ring,
         network?.link ?: UnconnectedPeers,
         clock
     )
     private val limits = network?.let {
-        LimitsService(it.id, settings.limits, log, logRing, callsRing, clock)
+        LimitsService(it.id, settings.limits, log, logRing, path.ring, clock)
     }
-    private val prober = LoadProber(clock, ::offerToCalls)
-    private val backend = BackendClient(ConnectionLimits(settings.calls.maxConnectionsPerTarget))
-    private val gateway = CallGateway(callsRing, MAX_CALLS)
-    private val process = InstanceMetrics(registry, gateway::callsInProgress)
     private val lifecycle =
-        LifecycleDuty(settings.process.drainTime, clock, gateway::callsInProgress, ::perform)
+        LifecycleDuty(
+            settings.process.drainTime,
+            Duration.ZERO,
+            clock,
+            path.gateway::callsInProgress,
+            ::perform
+        )
     private val admin = AdminServer(
         AdminAddress(settings.process.adminHost, settings.process.adminPort),
-        InstanceView(settings.zone, lifecycle, gateway, callsRing, configuration),
+        InstanceView(settings.zone, lifecycle, path, configuration),
         registry
     )
-    private val server = CallerServer(
+    private fun pathSettings() = CallPathSettings(
         CallerServerSettings(
             settings.callerHost,
             settings.callerPort,
             settings.calls.defaultTimeout,
             settings.calls.maxTimeout,
-            settings.calls.body
+            settings.calls.body,
+            settings.calls.bounds
         ),
-        CallerServerParts(
-            gateway = gateway,
-            backend = backend,
-            hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
-            clock = clock,
-            counters = metrics::count,
-            observer = CallLog { it.added?.let(process::added) },
-            answerListener = AnswerRetention(gateway, settings.once.maxAnswerBytes)
-        )
+        ConnectionLimits(settings.calls.maxConnectionsPerTarget),
+        settings.credentialKey,
+        LoadDocumentReader
     )
 
     private fun initialState() = CallsState(
@@ -150,7 +130,6 @@
 
     private fun perform(effect: CallEffect) {
         when (effect) {
-            is CallEffect.Count -> metrics.count(effect.counter)
             is CallEffect.Claim -> once.request(effect.request)
             is CallEffect.EndClaim -> once.end(effect.ended)
             is CallEffect.ReportDemand -> limits?.demanded(effect.demands)
@@ -158,24 +137,24 @@
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.SummarizeQuarantine ->
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
-            is CallEffect.Probe -> prober.probe(effect.target)
             is CallEffect.TellLoads -> network?.report(MembershipEvent.LoadsChanged(effect.loads))
-            is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
+            is CallEffect.Count,
+            is CallEffect.Probe,
+            is CallEffect.ForCall -> error("$effect is performed by the path of calls")
         }
     }
 
     private fun offerToCalls(event: CallEvent) {
-        if (callsRing.offer(CallMessage(event)) == Offer.Full) network?.noteRingFull()
+        if (path.offer(event) == Offer.Full) network?.noteRingFull()
     }
 
     private fun quarantineReported(from: InstanceId, notices: PersistentList<QuarantineNotice>) {
         if (notices.isEmpty()) return
-        val offer = callsRing.offer(CallMessage(CallEvent.QuarantineReported(from, notices)))
-        if (offer == Offer.Full) network?.noteRingFull()
+        offerToCalls(CallEvent.QuarantineReported(from, notices))
     }
 
     private fun configured(next: Configuration) {
-        callsRing.offerWaiting(CallMessage(CallEvent.Configured(next)))
+        path.offerWaiting(CallEvent.Configured(next))
         network?.report(MembershipEvent.RevisionChanged(next.revision))
     }
 
@@ -185,7 +164,7 @@
     override fun membersChanged(members: Members) {
         configuration.membersChanged(members)
         once.liveInstances(members.live.size)
-        network?.let { callsRing.offerWaiting(CallMessage(membersEvent(it.id, members))) }
+        network?.let { path.offerWaiting(membersEvent(it.id, members)) }
     }
 
     override fun received(message: PeerMessage) {
@@ -212,7 +191,7 @@
 
     private fun perform(action: LifecycleAction) {
         when (action) {
-            LifecycleAction.RefuseNewCalls -> gateway.drain()
+            LifecycleAction.RefuseNewCalls -> path.gateway.drain()
             LifecycleAction.AnnounceServing ->
                 network?.report(MembershipEvent.PhaseChanged(PeerPhase.Serving))
             LifecycleAction.AnnounceLeaving -> {
@@ -220,7 +199,7 @@
                 network?.report(MembershipEvent.PhaseChanged(PeerPhase.Draining))
             }
             LifecycleAction.CountCutOff ->
-                logger.warn { "${gateway.callsInProgress} calls outlast the drain time" }
+                logger.warn { "${path.gateway.callsInProgress} calls outlast the drain time" }
             LifecycleAction.ReleaseProcess -> Unit
         }
     }
@@ -232,16 +211,15 @@
      */
     public fun start(): InstancePorts {
         lifecycle.start()
-        calls.start()
+        path.startDuty()
         logDuty.start()
         configuration.start()
         once.start()
         limits?.start()
-        if (network == null) callsRing.offerWaiting(CallMessage(aloneEvent()))
-        timer.start()
+        if (network == null) path.offerWaiting(aloneEvent())
         try {
             network?.start()
-            val ports = InstancePorts(admin = admin.start(), caller = server.start())
+            val ports = InstancePorts(admin = admin.start(), caller = path.listen())
             lifecycle.announce(LifecycleEvent.Started)
             return ports
         } catch (e: IOException) {
@@ -261,17 +239,13 @@
     }
 
     override fun close() {
-        server.close()
-        timer.stop(STOP_TIMEOUT)
+        path.close()
         limits?.close()
         once.close()
-        prober.close()
         network?.close()
         configuration.close()
         logDuty.stop(STOP_TIMEOUT)
-        calls.stop(STOP_TIMEOUT)
         lifecycle.stop(STOP_TIMEOUT)
-        backend.close()
         log.close()
         admin.close()
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/InstanceSettingsReader.kt
@@ -8,6 +8,7 @@
 import org.wisteriahinge.app.PeerSettings
 import org.wisteriahinge.app.ProcessSettings
 import org.wisteriahinge.core.configuration.ConfigurationTiming
+import org.wisteriahinge.core.model.CallerBounds
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.OnceSettings
 
@@ -31,9 +32,9 @@
         maxConnectionsPerTarget = int(Settings.maxConnectionsPerTarget),
         body = BodyLimits(
             bufferedBytes = int(Settings.bodyBufferBytes),
-            bufferedTotalBytes = long(Settings.bodyMemoryBytes),
-            maxBytes = long(Settings.maxBodyBytes)
-        )
+            bufferedTotalBytes = long(Settings.bodyMemoryBytes)
+        ),
+        bounds = CallerBounds(maxBodyBytes = long(Settings.maxBodyBytes))
     ),
     process = ProcessSettings(
         adminHost = get(Settings.adminHost),
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
@@ -11,6 +11,13 @@
     /** A host name or an IP number. */
     data object Host : SettingKind("a host name or an IP number")
 
+    /** A host with a port. */
+    data object Address : SettingKind("an address such as 10.0.0.1:8080")
+
+    /** A number of [unit] from [min] to [max]. */
+    data class Decimal(val unit: String, val min: Double, val max: Double) :
+        SettingKind("a number of $unit from $min to $max")
+
     /** The base URL of a service. */
     data object Url : SettingKind("a URL such as http://10.0.0.1:9000, without a final slash")
 
@@ -28,6 +35,8 @@
     fun accepts(text: String): Boolean = when (this) {
         Word -> text.length in 1..MAX_WORD_LENGTH && text.none { it.isWhitespace() }
         Host -> HOST.matches(text)
+        Address -> ADDRESS.matches(text)
+        is Decimal -> text.toDoubleOrNull()?.let { it in min..max } == true
         Url -> isServiceUrl(text)
         Port -> text.toIntOrNull()?.let { it in 0..MAX_PORT } == true
         is Whole -> text.toLongOrNull()?.let { it in min..max } == true
@@ -41,6 +50,7 @@
         /** Shorter keys can be guessed from a hash that becomes known. */
         const val MIN_SECRET_LENGTH = 16
         val HOST = Regex("[A-Za-z0-9._:-]{1,253}")
+        val ADDRESS = Regex("[A-Za-z0-9._-]{1,253}:[0-9]{1,5}")
     }
 }
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -132,6 +132,35 @@
         "Secret key of the deployment for messages between instances"
     )
 
+    val callerAddress =
+        SettingSpec("caller-address", SettingKind.Address, null, "Address that serves callers")
+    val readyAddress = SettingSpec(
+        "ready-address",
+        SettingKind.Address,
+        null,
+        "Address at which the platform asks whether the instance is ready"
+    )
+    val storeAddress =
+        SettingSpec("store-address", SettingKind.Address, null, "Address of the platform's store")
+    val graceSeconds = SettingSpec(
+        "grace-time-s",
+        SettingKind.Decimal("s", 0.5, 3_600.0),
+        "6",
+        "Time between SIGTERM and the end of the process"
+    )
+    val retryRatio = SettingSpec(
+        "retry-ratio",
+        SettingKind.Decimal("repeats for each request", 0.0, 1.0),
+        "0.2",
+        "Requests of a service that may be sent a second time"
+    )
+    val retryWindowSeconds = SettingSpec(
+        "retry-window-s",
+        SettingKind.Decimal("s", 0.5, 3_600.0),
+        "10",
+        "Time over which retry-ratio is kept"
+    )
+
     /** What `run` and `settings` use. */
     val ofInstance: PersistentList<SettingSpec> = persistentListOf(
         zone,
@@ -159,6 +188,21 @@
         peerKey
     )
 
+    /** What `front` uses. */
+    val ofFront: PersistentList<SettingSpec> = persistentListOf(
+        zone,
+        instanceName,
+        callerAddress,
+        readyAddress,
+        storeAddress,
+        graceSeconds,
+        retryRatio,
+        retryWindowSeconds,
+        defaultTimeoutMillis,
+        maxTimeoutMillis,
+        bodyMemoryBytes
+    )
+
     /** What the commands use that read or write the log. */
     val ofLogCommands: PersistentList<SettingSpec> = persistentListOf(logUrl, logTimeoutMillis)
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
@@ -2,12 +2,15 @@
 
 import java.io.File
 import java.io.IOException
+import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 
+private const val MILLIS_PER_SECOND = 1_000
+
 /** Where the value of a setting comes from. */
 internal sealed interface SettingSource {
     val text: String
@@ -58,6 +61,9 @@
     fun long(spec: SettingSpec): Long = get(spec).toLong()
 
     fun int(spec: SettingSpec): Int = get(spec).toInt()
+
+    fun seconds(spec: SettingSpec): Duration =
+        Duration.ofMillis((get(spec).toDouble() * MILLIS_PER_SECOND).toLong())
 }
 
 /** What was given to the process: flags by name without dashes, and environment variables. */
@@ -95,7 +101,8 @@
 
 private fun find(spec: SettingSpec, given: GivenSettings): Found {
     val flag = given.flags[spec.name]
-    val variable = given.environment[spec.variable]
+    // A deployment that fills variables in from a template leaves those empty that it lacks.
+    val variable = given.environment[spec.variable]?.takeIf { it.isNotEmpty() }
     val file = spec.fileFlagName?.let { given.flags[it] ?: given.environment[spec.fileVariable] }
     return when {
         flag != null -> Found(SettingValue(spec, flag, SettingSource.Flag(spec.flag)))
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -10,6 +10,7 @@
 import org.wisteriahinge.core.lifecycle.lifecycleChart
 import org.wisteriahinge.core.limits.leaseChart
 import org.wisteriahinge.core.membership.peerChart
+import org.wisteriahinge.core.watch.watchChart
 
 /** Every chart that the decisions interpret. */
 public object ChartCatalog {
@@ -25,6 +26,7 @@
         configurationChart,
         lifecycleChart,
         leaseChart,
-        peerChart
+        peerChart,
+        watchChart
     )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
@@ -14,8 +14,8 @@
 import org.wisteriahinge.core.model.Service
 import org.wisteriahinge.core.model.WorkClass
 
-/** Delay told to callers; HTTP carries whole seconds, and a peak usually moves on within one. */
-private val RETRY_AFTER_OVERLOAD: Duration = Duration.ofSeconds(1)
+/** Delay told to callers; queues are no longer than this. */
+private val RETRY_AFTER_OVERLOAD: Duration = Duration.ofMillis(250)
 
 internal val overloadedRefusal: Refusal =
     Refusal(RefusalReason.Overloaded, Execution.NotRun, RETRY_AFTER_OVERLOAD)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -20,20 +20,21 @@
 import org.wisteriahinge.core.routing.RouteChoice
 import org.wisteriahinge.core.routing.RouteRequest
 
-/** Delay told to callers when no target is available; targets usually return within a second. */
-private val RETRY_AFTER_NO_TARGET: Duration = Duration.ofSeconds(1)
+/** Delay told to callers when no target is available; a shorter wait finds another one. */
+internal val RETRY_AFTER_NO_TARGET: Duration = Duration.ofMillis(250)
 
 /** The target that an attempt of [call] needs; those tried before are left out. */
 internal fun CallsState.routeRequest(call: CallInProgress, now: Instant): RouteRequest =
     RouteRequest(
         call.matched.service.id,
         call.matched.operation.workClass,
-        call.tried.addAll(closedTargets(call, now))
+        call.tried.addAll(closedTargets(call, now)),
+        call.request.bodyBytes ?: 0
     )
 
 /** Chooses a target for the first attempt of [call] and forwards it, or refuses without one. */
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
-    val started = copy(retries = retries.callStarted(call.matched.service.id))
+    val started = copy(retries = retries.callStarted(call.matched.service.id, now))
         .occupyPlace(call, now)
     return when (val choice = routing.choose(routeRequest(call, now), now)) {
         is RouteChoice.Chosen -> started.forward(call, choice, now)
@@ -56,7 +57,8 @@
         number = call.attemptsStarted + 1,
         target = choice.target,
         deadline = call.request.deadline,
-        noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed
+        noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed,
+        isRepeatable = call.isRepeatable()
     )
     val started = call.copy(
         attempts = call.attempts.put(
@@ -133,7 +135,7 @@
     val counted = CallCounter.AttemptFailed(call.matched.service.id, event.failure)
     return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result, now)))
         .emit(CallEffect.Count(counted))
-        .then { if (event.failure.isCrash()) it.crashed(call, now) else CallsDecision(it) }
+        .then { if (showsCrash(call, event)) it.crashed(call, now) else CallsDecision(it) }
         .update { it.noteFailure(event) }
         .update { if (event.failure.isShed()) it.observeShed(call) else it }
         .then {
@@ -142,13 +144,19 @@
         }
 }
 
+// Callers of open routes have no identity, so that equal requests of different callers, whose
+// answers were lost, would add up to a request that crashes servers.
+private fun showsCrash(call: CallInProgress, event: CallEvent.AttemptFailed): Boolean =
+    event.failure.isCrash() && !call.caller.isOpen
+
 private fun CallsState.noteFailure(event: CallEvent.AttemptFailed): CallsState {
     val call = calls[event.callId] ?: return this
     val mayHaveRun = call.mayHaveRun || event.failure.execution != Execution.NotRun
     return withCall(
         call.copy(
             request = call.request.copy(replayable = event.replayable),
-            mayHaveRun = mayHaveRun
+            mayHaveRun = mayHaveRun,
+            arrivals = call.arrivals + if (event.failure.isArrival()) 1 else 0
         )
     )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -8,16 +8,21 @@
 import org.wisteriahinge.core.model.Repeatability
 import org.wisteriahinge.core.quarantine.isQuarantined
 import org.wisteriahinge.core.retry.RetryDenial
+import org.wisteriahinge.core.retry.RetryLimit
 import org.wisteriahinge.core.retry.RetryReason
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.retry.RetryVerdict
 import org.wisteriahinge.core.routing.RouteChoice
 
-/** Delay told to callers when no target took the request; targets usually return in a second. */
-private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofSeconds(1)
+/** Delay told to callers when no target took the request; a queue at a target moves on within that time. */
+private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofMillis(250)
 
 /** Least time before the deadline at which a further attempt can still bring an answer. */
 private val MIN_TIME_FOR_ATTEMPT: Duration = Duration.ofMillis(2)
 
+/** Attempts of a call that may fail before they reach a target. */
+private const val MAX_MISSED_ATTEMPTS = 3
+
 /** Whether [status] may be the fault of one target, so that another one may answer well. */
 internal fun isServerError(status: Int): Boolean = when (status) {
     500, 502, 503, 504 -> true
@@ -47,15 +52,36 @@
     // An earlier attempt of an operation that may not be repeated rules out any further one.
     (call.mayHaveRun || !cause.isNotRun()) && !call.isRepeatable() -> RetryDenial.NotRepeatable
     !call.request.replayable -> RetryDenial.NotReplayable
-    call.attemptsStarted >= retries.settings.maxAttempts -> RetryDenial.AttemptsUsedUp
+    attemptsUsedUp(call) -> RetryDenial.AttemptsUsedUp
     cause.isTimeout() || now + MIN_TIME_FOR_ATTEMPT >= call.request.deadline ->
         RetryDenial.DeadlineTooClose
     isQuarantined(call, now) -> RetryDenial.Suspected
     else -> null
 }
 
+/** Attempts that reached no target do not count against the bound of an operation. */
+private fun CallsState.attemptsUsedUp(call: CallInProgress): Boolean {
+    val bound = call.matched.operation.bounds.maxTargets
+        ?: return call.attemptsStarted >= retries.settings.maxAttempts
+    val missed = call.attemptsStarted - call.arrivals
+    return call.arrivals >= bound || missed >= MAX_MISSED_ATTEMPTS
+}
+
+/** The budgets after one more attempt of [call]; null when they do not allow it. */
+private fun CallsState.withdrawRetry(call: CallInProgress, now: Instant): RetryState? =
+    when (retries.settings.limit) {
+        RetryLimit.Saved -> retries.withdrawRetry(call.matched.service.id, now)
+        // A request that has reached no target is not repeated by another attempt.
+        is RetryLimit.Window ->
+            if (call.arrivals == 0) {
+                retries
+            } else {
+                retries.withdrawRetry(call.matched.service.id, now)
+            }
+    }
+
 private fun CallsState.denialByState(call: CallInProgress, now: Instant): RetryDenial? = when {
-    retries.withdrawRetry(call.matched.service.id) == null -> RetryDenial.BudgetSpent
+    withdrawRetry(call, now) == null -> RetryDenial.BudgetSpent
     else -> when (routing.choose(routeRequest(call, now), now)) {
         is RouteChoice.Chosen -> null
         RouteChoice.NoTarget -> RetryDenial.NoOtherTarget
@@ -64,7 +90,7 @@
 
 internal fun CallInProgress.isRepeatable(): Boolean = when (matched.operation.repeatability) {
     Repeatability.Repeatable -> true
-    Repeatability.AtMostOnce -> false
+    Repeatability.AtMostOnce, Repeatability.OncePerRequest -> false
 }
 
 private fun RetryCause.isNotRun(): Boolean = when (this) {
@@ -85,8 +111,10 @@
     AttemptFailure.ConnectFailed -> RetryReason.ConnectFailed
     AttemptFailure.Shed -> RetryReason.Shed
     AttemptFailure.TargetDraining -> RetryReason.TargetDraining
+    AttemptFailure.WrongTarget -> RetryReason.WrongTarget
     AttemptFailure.NotSent -> RetryReason.NotSent
     AttemptFailure.Disconnected, AttemptFailure.TimedOut -> RetryReason.Disconnected
+    AttemptFailure.Truncated -> RetryReason.Truncated
     AttemptFailure.InvalidAnswer -> RetryReason.InvalidAnswer
 }
 
@@ -113,14 +141,14 @@
 ): CallsDecision {
     val service = call.matched.service.id
     val counter = CallCounter.Retried(service, verdict.reason)
-    val spent = copy(retries = retries.withdrawRetry(service) ?: retries)
+    val spent = copy(retries = withdrawRetry(call, now) ?: retries)
     return when (val choice = spent.routing.choose(routeRequest(call, now), now)) {
         is RouteChoice.Chosen ->
             CallsDecision(spent).emit(CallEffect.Count(counter))
                 .then { it.forward(call, choice, now) }
         RouteChoice.NoTarget -> refuse(
             call.request.callId,
-            Refusal(RefusalReason.NoTarget, call.execution(), RETRY_AFTER_NOT_TAKEN),
+            call.notTaken(),
             now
         )
     }
@@ -130,6 +158,13 @@
 private fun CallInProgress.execution(): Execution =
     if (mayHaveRun) Execution.MayHaveRun else Execution.NotRun
 
+/** The status 503 states that the request did not run, so that an unknown outcome needs another. */
+private fun CallInProgress.notTaken(): Refusal = when (execution()) {
+    Execution.NotRun -> Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NOT_TAKEN)
+    Execution.WasRun, Execution.MayHaveRun ->
+        Refusal(RefusalReason.TargetFailed, Execution.MayHaveRun)
+}
+
 private fun CallInProgress.refusalAfter(cause: RetryCause): Refusal = when (cause) {
     RetryCause.ErrorAnswer -> Refusal(RefusalReason.TargetFailed, execution())
     is RetryCause.Failure -> when (cause.failure) {
@@ -137,9 +172,11 @@
         AttemptFailure.ConnectFailed,
         AttemptFailure.Shed,
         AttemptFailure.TargetDraining,
+        AttemptFailure.WrongTarget,
         AttemptFailure.NotSent
-        -> Refusal(RefusalReason.NoTarget, execution(), RETRY_AFTER_NOT_TAKEN)
+        -> notTaken()
         AttemptFailure.Disconnected,
+        AttemptFailure.Truncated,
         AttemptFailure.InvalidAnswer
         -> Refusal(RefusalReason.TargetFailed, execution())
     }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -25,7 +25,8 @@
     val number: Int,
     val target: Target,
     val deadline: Instant,
-    val noRetry: Boolean = false
+    val noRetry: Boolean = false,
+    val isRepeatable: Boolean = true
 ) {
     /** Whether an answer with [status] is delivered whatever else is known of the call. */
     public fun isDeliverable(status: Int): Boolean = !isServerError(status)
@@ -73,8 +74,8 @@
     /** Tell the `limits` duty what the customers could use. */
     public data class ReportDemand(val demands: PersistentMap<CustomerId, Demand>) : CallEffect
 
-    /** Ask [target] for its load, outside any call. */
-    public data class Probe(val target: Target) : CallEffect
+    /** Ask [target] for its load at [path], outside any call. */
+    public data class Probe(val target: Target, val path: String) : CallEffect
 
     /** What the next heartbeats tell of targets; replaces what they told before. */
     public data class TellLoads(val loads: PersistentList<TargetLoad>) : CallEffect
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -10,6 +10,7 @@
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.once.ClaimSettlement
@@ -57,6 +58,9 @@
     /** A revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : Decided
 
+    /** A registry lists the targets of all services; replaces those of the operators' lists. */
+    public data class TargetsListed(val targets: ListedTargets) : Decided
+
     /** The `once` duty settled the claim of a call. */
     public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) : Decided
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -18,20 +18,48 @@
 }
 
 private fun CallsState.isHedgeDue(call: CallInProgress, now: Instant): Boolean {
-    if (call.hedgeConsidered || call.attemptsStarted != 1 || !call.mayBeHedged()) return false
-    val first = call.attempts.values.singleOrNull() ?: return false
-    val delay = retries.of(call.matched.service.id).answerTime?.takeIf { it.usable }?.value
-        ?: return false
-    return first.state == AttemptState.Sent && Duration.between(first.startedAt, now) >= delay
+    val dueAt = hedgeDueAt(call) ?: return false
+    return dueAt <= now
 }
 
-private fun CallInProgress.mayBeHedged(): Boolean =
-    isRepeatable() && request.replayable && matched.operation.workClass == WorkClass.Short
+/** When [call] is to be hedged unless its answer begins before; null when it is not. */
+private fun CallsState.hedgeDueAt(call: CallInProgress): Instant? {
+    if (call.hedgeConsidered || !call.mayBeHedged()) return null
+    val attempt = call.attempts.values.singleOrNull() ?: return null
+    val delay = hedgeDelay(call) ?: return null
+    return if (attempt.state == AttemptState.Sent) attempt.startedAt + delay else null
+}
+
+/** Until enough answers were seen, half of the objective; later than that, a hedge is too late. */
+private fun CallsState.hedgeDelay(call: CallInProgress): Duration? {
+    val seen = retries.of(call.matched.service.id).answerTime?.takeIf { it.usable }?.value
+    val latest = call.matched.operation.bounds.objective?.dividedBy(2)
+    return when {
+        seen == null -> latest
+        latest == null -> seen
+        else -> minOf(seen, latest)
+    }
+}
+
+/** When the next hedge is due; null when no call in progress is to be hedged. */
+internal fun CallsState.nextHedgeAt(): Instant? = when (retries.settings.hedging) {
+    Hedging.Off -> null
+    is Hedging.AfterQuantile -> calls.values.mapNotNull { hedgeDueAt(it) }.minOrNull()
+}
+
+private fun CallInProgress.mayBeHedged(): Boolean = isRepeatable() && request.replayable &&
+    matched.operation.workClass == WorkClass.Short && hasAttemptsLeft()
+
+/** Without a bound of its own, an operation is hedged only while its first attempt runs. */
+private fun CallInProgress.hasAttemptsLeft(): Boolean {
+    val bound = matched.operation.bounds.maxTargets ?: return attemptsStarted == 1
+    return arrivals + attempts.size < bound
+}
 
 private fun CallsState.hedge(call: CallInProgress, now: Instant): CallsDecision {
     val service = call.matched.service.id
     val considered = call.copy(hedgeConsidered = true)
-    val spent = retries.withdrawHedge(service)
+    val spent = retries.withdrawHedge(service, now)
     val choice = routing.choose(routeRequest(call, now), now)
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
@@ -14,7 +14,8 @@
  *
  * [bodyBytes] is the declared length, null when the body is chunked. [replayable] says that the
  * front end holds the whole body and can send it again. [depth] counts the calls that led here.
- * [retriesAllowed] is false when an outer layer retries.
+ * [retriesAllowed] is false when an outer layer retries. [host] is the `Host` header. [arrivedAt]
+ * is when the head arrived, null for the time of the first decision.
  */
 public data class CallRequest(
     val callId: CallId,
@@ -27,5 +28,7 @@
     val depth: Int,
     val retriesAllowed: Boolean,
     val bodyBytes: Long?,
-    val replayable: Boolean
+    val replayable: Boolean,
+    val host: String? = null,
+    val arrivedAt: Instant? = null
 )
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -21,6 +21,9 @@
 
     /** Queues calls until a place at the targets is free. */
     public data object Admission : CallStage("admission")
+
+    /** Asks a few targets for their load right before one of them is chosen. */
+    public data object Survey : CallStage("survey")
 }
 
 /**
@@ -35,7 +38,8 @@
         CallStage.Limits,
         CallStage.Headroom,
         CallStage.Claim,
-        CallStage.Admission
+        CallStage.Admission,
+        CallStage.Survey
     )
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
@@ -9,6 +9,8 @@
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.quarantine.enterQuarantine
 import org.wisteriahinge.core.quarantine.leaveQuarantine
+import org.wisteriahinge.core.survey.enterSurvey
+import org.wisteriahinge.core.survey.leaveSurvey
 
 /** Takes the call through all stages and starts its first attempt unless a stage stops it. */
 internal fun CallsState.runStages(callId: CallId, now: Instant): CallsDecision =
@@ -55,6 +57,7 @@
         CallStage.Claim -> enterClaim(call)
         CallStage.Limits -> enterLimits(call, now)
         CallStage.Admission -> enterAdmission(call, now)
+        CallStage.Survey -> enterSurvey(call, now)
     }
 
 private fun CallsState.leave(
@@ -68,4 +71,5 @@
     CallStage.Claim -> leaveClaim(call, end)
     CallStage.Limits -> leaveLimits(call)
     CallStage.Admission -> leaveAdmission(call, end, now)
+    CallStage.Survey -> leaveSurvey(call)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallerChecks.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallerChecks.kt
@@ -21,8 +21,16 @@
 /** Deepest nesting of calls that is forwarded; a deeper call is most likely a loop. */
 public const val MAX_CALL_DEPTH: Int = 24
 
-/** A customer whose caller was authenticated, with the plan in force. */
-public data class EntitledCaller(val customer: Customer, val plan: Plan)
+/**
+ * A customer whose caller was authenticated, with the plan in force.
+ *
+ * [isOpen] marks the callers of open routes, who have no plan and no identity.
+ */
+public data class EntitledCaller(
+    val customer: Customer,
+    val plan: Plan,
+    val isOpen: Boolean = false
+)
 
 /** A call that passed every check that depends only on the request and the operators' lists. */
 internal data class CheckedCall(val caller: EntitledCaller, val matched: MatchedOperation)
@@ -31,6 +39,7 @@
     request: CallRequest,
     now: Instant
 ): Result<CheckedCall, RefusalReason> = requireRevision()
+    .andThen { requireCredentialOrRoute(request) }
     .andThen { customers.authenticate(request.credential) }
     .andThen { owner -> matchEntitled(owner, request) }
     .andThen { checked -> checkLimitsOfRequest(checked, request, now) }
@@ -38,6 +47,16 @@
 private fun Configuration.requireRevision(): Result<Unit, RefusalReason> =
     if (revision == RevisionNumber.None) Err(RefusalReason.NotReady) else Ok(Unit)
 
+/** Without a credential only an open route could have served the request. */
+private fun Configuration.requireCredentialOrRoute(
+    request: CallRequest
+): Result<Unit, RefusalReason> =
+    if (request.credential == null && !entitlements.routes.isEmpty) {
+        Err(RefusalReason.UnknownOperation)
+    } else {
+        Ok(Unit)
+    }
+
 private fun Customers.authenticate(
     presented: PresentedCredential?
 ): Result<CredentialOwner, RefusalReason> {
@@ -69,7 +88,7 @@
     return Ok(CheckedCall(EntitledCaller(owner.customer, plan), matched))
 }
 
-private fun checkLimitsOfRequest(
+internal fun checkLimitsOfRequest(
     checked: CheckedCall,
     request: CallRequest,
     now: Instant
@@ -81,7 +100,7 @@
 
 private fun requireKey(checked: CheckedCall, request: CallRequest): Result<Unit, RefusalReason> {
     val needed = when (checked.matched.operation.repeatability) {
-        Repeatability.Repeatable -> false
+        Repeatability.Repeatable, Repeatability.OncePerRequest -> false
         Repeatability.AtMostOnce -> true
     }
     val missing = needed && request.idempotencyKey == null
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.call
 
 import com.github.michaelbull.result.mapBoth
+import java.time.Duration
 import java.time.Instant
 import org.wisteriahinge.core.admission.LongPermits
 import org.wisteriahinge.core.admission.dispatchQueued
@@ -8,12 +9,18 @@
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.quarantine.quarantineReported
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
 import org.wisteriahinge.core.routing.membersChanged
 import org.wisteriahinge.core.routing.peerReported
+import org.wisteriahinge.core.survey.endDueSurveys
+import org.wisteriahinge.core.survey.surveyAnswered
+
+/** An instance reads its first configuration within this time of its start. */
+private val RETRY_AFTER_NOT_READY: Duration = Duration.ofMillis(300)
 
 /** Decides on [event] at [now]. Pure: reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
@@ -25,8 +32,10 @@
     is CallEvent.CallerGone -> callerGone(event.callId, now)
     is CallEvent.LoadReported ->
         CallsDecision(copy(routing = routing.loadReported(event.targetId, event.load)))
+            .then { it.surveyAnswered(event.targetId, now) }
     is CallEvent.QuarantineReported -> quarantineReported(event, now)
-    is CallEvent.ProbeFailed -> probeFailed(event.target)
+    is CallEvent.ProbeFailed ->
+        probeFailed(event.target).then { it.surveyAnswered(event.target, now) }
     is CallEvent.PeerLoads ->
         CallsDecision(copy(routing = routing.peerReported(event.loads, now)))
     is CallEvent.MembersChanged -> membersChanged(event)
@@ -47,6 +56,7 @@
 private fun CallsState.decided(event: CallEvent.Decided, now: Instant): CallsDecision =
     when (event) {
         is CallEvent.Configured -> configured(event.configuration)
+        is CallEvent.TargetsListed -> targetsListed(event.targets)
         is CallEvent.ClaimSettled -> claimSettled(event, now)
         is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
@@ -67,18 +77,47 @@
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
     } else {
-        CallsDecision(copy(configuration = next, routing = routing.configured(next.entitlements)))
+        CallsDecision(copy(configuration = next).withListedTargets())
     }
 
-private fun CallsState.arrive(request: CallRequest, now: Instant): CallsDecision =
+private fun CallsState.targetsListed(targets: ListedTargets): CallsDecision =
+    CallsDecision(copy(listed = targets).withListedTargets())
+
+private fun CallsState.withListedTargets(): CallsState {
+    val own = configuration.entitlements
+    val entitlements = listed?.let { own.withTargets(it) } ?: own
+    return copy(
+        configuration = configuration.copy(entitlements = entitlements),
+        routing = routing.configured(entitlements)
+    )
+}
+
+private fun CallsState.arrive(request: CallRequest, now: Instant): CallsDecision {
+    val route = request.host?.let { configuration.entitlements.routes.match(it, request.path) }
+    return if (route == null) arriveWithPlan(request, now) else arriveOpen(request, route, now)
+}
+
+private fun CallsState.arriveWithPlan(request: CallRequest, now: Instant): CallsDecision =
     configuration.check(request, now).mapBoth(
-        success = { checked ->
-            val call = CallInProgress(request, checked.caller, checked.matched)
-            withCall(call).runStages(request.callId, now)
-        },
-        failure = { reason -> refuse(request.callId, Refusal(reason, Execution.NotRun), now) }
+        success = { checked -> admit(request, checked, now) },
+        failure = { reason -> refuse(request.callId, reason.refusal(), now) }
     )
 
+internal fun RefusalReason.refusal(): Refusal {
+    val retryAfter = RETRY_AFTER_NOT_READY.takeIf { this == RefusalReason.NotReady }
+    return Refusal(this, Execution.NotRun, retryAfter)
+}
+
+/** Runs the stages of a call that passed every check. */
+internal fun CallsState.admit(
+    request: CallRequest,
+    checked: CheckedCall,
+    now: Instant
+): CallsDecision {
+    val call = CallInProgress(request, checked.caller, checked.matched)
+    return withCall(call).runStages(request.callId, now)
+}
+
 /** Refuses a call that holds no target and forgets it. */
 internal fun CallsState.refuse(callId: CallId, refusal: Refusal, now: Instant): CallsDecision =
     endCall(callId, CallEnd.Refused(refusal), now)
@@ -87,6 +126,7 @@
 
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
+    .then { it.endDueSurveys(now) }
     .then { it.startHedges(now) }
     .then { it.reportDemand(now) }
     .then { it.probe(now) }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -10,11 +10,15 @@
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.MatchedOperation
+import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.quarantine.QuarantineState
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
+import org.wisteriahinge.core.routing.WeightedTurn
+import org.wisteriahinge.core.survey.SurveysState
 
 /** An attempt in progress and its state in the chart `call-attempt`. */
 public data class AttemptInProgress(
@@ -28,7 +32,8 @@
  *
  * [attemptsStarted] counts all attempts, ended ones included; [tried] are their targets.
  * [mayHaveRun] is set once an ended attempt may have run. [waitingAt] is the stage that suspended
- * the call. [holdsPlace] is set while it counts against its plan's concurrent calls.
+ * the call. [holdsPlace] is set while it counts against its plan's concurrent calls. [arrivals]
+ * counts the ended attempts that reached their target.
  */
 public data class CallInProgress(
     val request: CallRequest,
@@ -39,12 +44,17 @@
     val tried: PersistentSet<TargetId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
     val waitingAt: CallStage? = null,
+    val arrivals: Int = 0,
     val hedgeConsidered: Boolean = false,
     val claim: CallClaim = CallClaim.None,
     val holdsPlace: Boolean = false
 )
 
-/** All that the decisions on calls depend on. Owned by the `calls` duty. */
+/** All that the decisions on calls depend on. Owned by the `calls` duty.
+ *
+ * [listed] are the targets of a registry, null where the operators' lists name them. [splits] are
+ * the turns of routes with several backends.
+ */
 public data class CallsState(
     val configuration: Configuration,
     val routing: RoutingState,
@@ -53,7 +63,10 @@
     val retries: RetryState = RetryState(),
     val limits: CallLimits = CallLimits(),
     val quarantine: QuarantineState = QuarantineState(),
-    val admission: AdmissionState = AdmissionState()
+    val admission: AdmissionState = AdmissionState(),
+    val surveys: SurveysState = SurveysState(),
+    val splits: PersistentMap<OperationId, WeightedTurn> = persistentHashMapOf(),
+    val listed: ListedTargets? = null
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/ClaimStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/ClaimStage.kt
@@ -14,7 +14,8 @@
 /** Suspends a call whose operation may not be repeated until its key's claim is settled. */
 internal fun CallsState.enterClaim(call: CallInProgress): StageOutcome =
     when (call.matched.operation.repeatability) {
-        Repeatability.Repeatable -> StageOutcome.Passed(CallsDecision(this))
+        Repeatability.Repeatable,
+        Repeatability.OncePerRequest -> StageOutcome.Passed(CallsDecision(this))
         Repeatability.AtMostOnce -> requestClaim(call)
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/LimitStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/LimitStage.kt
@@ -20,6 +20,7 @@
  * cover it, the caller is asked for a length.
  */
 internal fun CallsState.enterLimits(call: CallInProgress, now: Instant): StageOutcome {
+    if (call.caller.isOpen) return StageOutcome.Passed(CallsDecision(this))
     val customer = call.caller.customer.id
     val length = call.request.bodyBytes
     val bytes = length ?: limits.settings.unknownBodyBytes
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
@@ -0,0 +1,82 @@
+package org.wisteriahinge.core.call
+
+import com.github.michaelbull.result.mapBoth
+import java.time.Instant
+import java.util.SplittableRandom
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.core.model.Allowance
+import org.wisteriahinge.core.model.Backend
+import org.wisteriahinge.core.model.CallBounds
+import org.wisteriahinge.core.model.Customer
+import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.MatchedOperation
+import org.wisteriahinge.core.model.Plan
+import org.wisteriahinge.core.model.PlanId
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RefusalReason
+import org.wisteriahinge.core.model.Route
+import org.wisteriahinge.core.model.Standing
+import org.wisteriahinge.core.routing.WeightedTurn
+
+/** Weight of the highest priority in the fair queues; each further rank has half of it. */
+private const val HIGHEST_WEIGHT = 64
+private const val MAX_RANK = 6
+
+private val unlimited = Allowance(
+    callsPerSecond = Double.MAX_VALUE,
+    burstCalls = Int.MAX_VALUE,
+    concurrentCalls = Int.MAX_VALUE,
+    bytesPerSecond = Long.MAX_VALUE,
+    burstBytes = Long.MAX_VALUE
+)
+
+/** The callers of open routes with the priority of [bounds]. They share one queue. */
+private fun openCaller(bounds: CallBounds): EntitledCaller {
+    val rank = bounds.priority.coerceIn(0, MAX_RANK)
+    val name = "open-$rank"
+    return EntitledCaller(
+        Customer(CustomerId(name), PlanId(name), persistentListOf(), Standing.Active),
+        Plan(PlanId(name), unlimited, persistentSetOf(), HIGHEST_WEIGHT shr rank),
+        isOpen = true
+    )
+}
+
+/** Takes a request for an open route: chooses its service and bounds its time. */
+internal fun CallsState.arriveOpen(
+    request: CallRequest,
+    route: Route,
+    now: Instant
+): CallsDecision {
+    val turn = (splits[route.id]?.takeIf { it.backends == route.backends } ?: firstTurn(route))
+        .next()
+    val chosen = copy(splits = splits.put(route.id, turn.after))
+    val service = configuration.entitlements.services[turn.backend.service]
+        ?: return chosen.refuse(
+            request.callId,
+            Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NO_TARGET),
+            now
+        )
+    val bounded = request.within(route.bounds, now)
+    val checked = CheckedCall(
+        openCaller(route.bounds),
+        MatchedOperation(service, route.operation)
+    )
+    return checkLimitsOfRequest(checked, bounded, now).mapBoth(
+        success = { chosen.admit(bounded, it, now) },
+        failure = { chosen.refuse(request.callId, it.refusal(), now) }
+    )
+}
+
+/** Instances begin at different places, so that few requests of each keep the weights in sum. */
+private fun CallsState.firstTurn(route: Route): WeightedTurn {
+    val total = route.backends.sumOf(Backend::weight).coerceAtLeast(1)
+    val start = SplittableRandom(routing.seed xor route.id.hashCode().toLong()).nextInt(total)
+    return WeightedTurn.of(route.backends).advanced(start)
+}
+
+private fun CallRequest.within(bounds: CallBounds, now: Instant): CallRequest {
+    val latest = bounds.timeout?.let { (arrivedAt ?: now) + it } ?: return this
+    return if (latest < deadline) copy(deadline = latest) else this
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/TargetWatch.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/TargetWatch.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.call
 
 import java.time.Instant
+import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.routing.collectNews
 import org.wisteriahinge.core.routing.dueProbes
@@ -9,13 +10,20 @@
 internal fun CallsState.probe(now: Instant): CallsDecision {
     val due = routing.dueProbes(now)
     return due.targets.fold(CallsDecision(copy(routing = due.routing))) { decision, target ->
-        val service = due.routing.targets.getValue(target.id).service
-        decision
-            .emit(CallEffect.Probe(target))
-            .emit(CallEffect.Count(CallCounter.ProbeSent(service)))
+        decision.then { it.sendProbe(target) }
     }
 }
 
+/** Asks [target] for its load. */
+internal fun CallsState.sendProbe(target: Target): CallsDecision {
+    val service = routing.targets[target.id]?.service ?: return CallsDecision(this)
+    val path = configuration.entitlements.services[service]?.probePath
+        ?: return CallsDecision(this)
+    return CallsDecision(this)
+        .emit(CallEffect.Probe(target, path))
+        .emit(CallEffect.Count(CallCounter.ProbeSent(service)))
+}
+
 /** Gives the peers what this instance knows of draining targets. */
 internal fun CallsState.tellPeers(now: Instant): CallsDecision {
     val news = routing.collectNews(now)
--- a/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleChart.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleChart.kt
@@ -11,6 +11,9 @@
     public data object Starting : LifecyclePhase("starting")
     public data object Serving : LifecyclePhase("serving")
 
+    /** Not ready any more; calls that still arrive are served. */
+    public data object Leaving : LifecyclePhase("leaving")
+
     /** New calls are refused; calls in progress go on. */
     public data object Draining : LifecyclePhase("draining")
     public data object Stopped : LifecyclePhase("stopped")
@@ -21,6 +24,12 @@
     public data object Started : LifecycleTrigger("started")
     public data object StopRequested : LifecycleTrigger("stop_requested")
 
+    /** A stop was requested that first lets callers be sent elsewhere. */
+    public data object LeaveRequested : LifecycleTrigger("leave_requested")
+
+    /** Callers had the time to be sent elsewhere. */
+    public data object HandoverEnded : LifecycleTrigger("handover_ended")
+
     /** The last call in progress ended. */
     public data object Drained : LifecycleTrigger("drained")
 
@@ -49,12 +58,15 @@
             states = persistentListOf(
                 LifecyclePhase.Starting,
                 LifecyclePhase.Serving,
+                LifecyclePhase.Leaving,
                 LifecyclePhase.Draining,
                 LifecyclePhase.Stopped
             ),
             events = persistentListOf(
                 LifecycleTrigger.Started,
                 LifecycleTrigger.StopRequested,
+                LifecycleTrigger.LeaveRequested,
+                LifecycleTrigger.HandoverEnded,
                 LifecycleTrigger.Drained,
                 LifecycleTrigger.DrainExpired
             ),
--- a/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleState.kt
@@ -17,22 +17,42 @@
     public data class CallsCounted(val inProgress: Int) : LifecycleEvent
 }
 
-/** The phase of the instance. [drainUntil] is set once a stop was requested. */
+/**
+ * The phase of the instance. [drainUntil] is set once a stop was requested.
+ *
+ * A stop takes at most [drainTime]. For the [handover] at its start new calls are still served.
+ */
 public data class LifecycleState(
     val drainTime: Duration,
     val phase: LifecyclePhase = lifecycleChart.initial,
-    val drainUntil: Instant? = null
+    val drainUntil: Instant? = null,
+    val handover: Duration = Duration.ZERO,
+    val handoverUntil: Instant? = null
 ) {
     /** Decides on [event] at [now]. */
     public fun decide(event: LifecycleEvent, now: Instant): LifecycleDecision = when (event) {
         LifecycleEvent.Started -> step(LifecycleTrigger.Started)
-        LifecycleEvent.StopRequested ->
-            copy(drainUntil = drainUntil ?: (now + drainTime)).step(LifecycleTrigger.StopRequested)
+        LifecycleEvent.StopRequested -> stop(now)
         is LifecycleEvent.CallsCounted -> counted(event.inProgress, now)
     }
 
+    private fun stop(now: Instant): LifecycleDecision {
+        val stopping = copy(
+            drainUntil = drainUntil ?: (now + drainTime),
+            handoverUntil = handoverUntil ?: (now + handover)
+        )
+        val trigger = if (handover.isZero) {
+            LifecycleTrigger.StopRequested
+        } else {
+            LifecycleTrigger.LeaveRequested
+        }
+        return stopping.step(trigger)
+    }
+
     private fun counted(inProgress: Int, now: Instant): LifecycleDecision = when {
-        drainUntil == null -> LifecycleDecision(this)
+        drainUntil == null || handoverUntil == null -> LifecycleDecision(this)
+        phase == LifecyclePhase.Leaving ->
+            if (now >= handoverUntil) step(LifecycleTrigger.HandoverEnded) else LifecycleDecision(this)
         inProgress == 0 -> step(LifecycleTrigger.Drained)
         now >= drainUntil -> step(LifecycleTrigger.DrainExpired)
         else -> LifecycleDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/Readiness.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/Readiness.kt
@@ -15,7 +15,9 @@
         public fun of(phase: LifecyclePhase, configuration: ConfigurationStatus): Readiness =
             when (phase) {
                 LifecyclePhase.Starting -> Starting
-                LifecyclePhase.Draining, LifecyclePhase.Stopped -> Draining
+                LifecyclePhase.Leaving,
+                LifecyclePhase.Draining,
+                LifecyclePhase.Stopped -> Draining
                 LifecyclePhase.Serving -> when (configuration.standing) {
                     ConfigurationStanding.Absent -> NoConfiguration
                     ConfigurationStanding.Confirmed, ConfigurationStanding.Unconfirmed -> Ready
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
@@ -4,9 +4,11 @@
 public sealed class RetryReason(public val wireName: String) {
     public data object Shed : RetryReason("shed")
     public data object TargetDraining : RetryReason("target_draining")
+    public data object WrongTarget : RetryReason("wrong_target")
     public data object ConnectFailed : RetryReason("connect_failed")
     public data object NotSent : RetryReason("not_sent")
     public data object Disconnected : RetryReason("disconnected")
+    public data object Truncated : RetryReason("truncated")
     public data object InvalidAnswer : RetryReason("invalid_answer")
 
     /** The target answered with a status that another target may not give. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.retry
 
 import java.time.Duration
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.model.ServiceId
@@ -19,14 +20,16 @@
  *
  * [retryRatio] and [hedgeRatio] are further attempts per call of a service. Their sum stays below
  * 0.1, so that attempts are at most 1.1 times the calls at every layer. [burst] is how many may be
- * saved up, so that a service with little traffic can retry at all.
+ * saved up, so that a service with little traffic can retry at all. They hold for the [limit]
+ * [RetryLimit.Saved].
  */
 public data class RetrySettings(
     val retryRatio: Double = 0.07,
     val hedgeRatio: Double = 0.02,
     val burst: Double = 10.0,
     val maxAttempts: Int = 3,
-    val hedging: Hedging = Hedging.Off
+    val hedging: Hedging = Hedging.Off,
+    val limit: RetryLimit = RetryLimit.Saved
 )
 
 /** Further attempts that a service may still make. */
@@ -47,7 +50,8 @@
 public data class ServiceRetries(
     val retries: RetryBudget,
     val hedges: RetryBudget,
-    val answerTime: QuantileEstimate? = null
+    val answerTime: QuantileEstimate? = null,
+    val window: RetryWindow = RetryWindow()
 )
 
 /** The further attempts of this instance, by service. */
@@ -61,25 +65,42 @@
         hedges = RetryBudget(settings.burst, settings.burst)
     )
 
-    /** A call of [service] started its first attempt. */
-    public fun callStarted(service: ServiceId): RetryState = with(of(service)) {
-        put(
-            service,
-            copy(
+    /** A call of [service] arrived at [now]. */
+    public fun callStarted(service: ServiceId, now: Instant): RetryState = with(of(service)) {
+        val counted = when (val limit = settings.limit) {
+            RetryLimit.Saved -> copy(
                 retries = retries.deposit(settings.retryRatio),
                 hedges = hedges.deposit(settings.hedgeRatio)
             )
-        )
+            is RetryLimit.Window -> copy(window = window.requested(limit, now))
+        }
+        put(service, counted)
     }
 
     /** The state after one retry; null when the budget of [service] is used up. */
-    public fun withdrawRetry(service: ServiceId): RetryState? = with(of(service)) {
-        retries.withdraw()?.let { put(service, copy(retries = it)) }
+    public fun withdrawRetry(service: ServiceId, now: Instant): RetryState? = with(of(service)) {
+        when (val limit = settings.limit) {
+            RetryLimit.Saved -> retries.withdraw()?.let { put(service, copy(retries = it)) }
+            is RetryLimit.Window -> withdraw(service, limit, share = 1.0, now)
+        }
     }
 
     /** The state after one hedge; null when the budget of [service] is used up. */
-    public fun withdrawHedge(service: ServiceId): RetryState? = with(of(service)) {
-        hedges.withdraw()?.let { put(service, copy(hedges = it)) }
+    public fun withdrawHedge(service: ServiceId, now: Instant): RetryState? = with(of(service)) {
+        when (val limit = settings.limit) {
+            RetryLimit.Saved -> hedges.withdraw()?.let { put(service, copy(hedges = it)) }
+            is RetryLimit.Window -> withdraw(service, limit, limit.hedgeShare, now)
+        }
+    }
+
+    private fun withdraw(
+        service: ServiceId,
+        limit: RetryLimit.Window,
+        share: Double,
+        now: Instant
+    ): RetryState? = with(of(service)) {
+        if (window.left(limit, share, now) < 1) return null
+        put(service, copy(window = window.repeated(limit, now)))
     }
 
     /** An answer of a short operation of [service] began after [elapsed]. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
@@ -33,11 +33,20 @@
         }
     }
     val seen = copy(
-        targets = targets.put(at.target, view.copy(health = health, lastEventAt = now))
+        targets = targets.put(
+            at.target,
+            view.copy(health = health, lastEventAt = now, silentSince = silentAfter(view, result))
+        )
     )
     return if (result.isWhole()) seen.paced(view.service, at, now) else seen
 }
 
+/** An answer is a sign of life, and so is a statement that the request did not run. */
+private fun silentAfter(view: TargetView, result: AttemptResult): Instant? = when (result) {
+    is AttemptResult.Answered -> null
+    is AttemptResult.Failed -> view.silentSince
+}
+
 private fun AttemptResult.isWhole(): Boolean =
     this is AttemptResult.Answered && status < FIRST_SERVER_ERROR
 
@@ -62,9 +71,11 @@
     AttemptFailure.ConnectFailed ->
         view.health.failed(moment, certain = true, mayEject(view.service))
     AttemptFailure.Disconnected,
+    AttemptFailure.Truncated,
     AttemptFailure.InvalidAnswer ->
         view.health.failed(moment, certain = false, mayEject(view.service))
-    AttemptFailure.TargetDraining ->
+    AttemptFailure.TargetDraining,
+    AttemptFailure.WrongTarget ->
         view.health.step(AvailabilityTrigger.DrainAnnounced, moment)
     AttemptFailure.Shed -> view.health.shed(moment)
     AttemptFailure.TimedOut -> view.health.answered(TIMED_OUT_RATIO, moment)
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RouteRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RouteRequest.kt
@@ -7,11 +7,16 @@
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.WorkClass
 
-/** What a target is needed for. Targets in [exclude] were tried by earlier attempts. */
+/**
+ * What a target is needed for.
+ *
+ * Targets in [exclude] were tried by earlier attempts. [bodyBytes] is the length of the body.
+ */
 public data class RouteRequest(
     val service: ServiceId,
     val workClass: WorkClass,
-    val exclude: PersistentSet<TargetId> = persistentSetOf()
+    val exclude: PersistentSet<TargetId> = persistentSetOf(),
+    val bodyBytes: Long = 0
 )
 
 /** The outcome of choosing a target. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingPolicy.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingPolicy.kt
@@ -21,11 +21,13 @@
      *
      * [sampled] targets are compared for a request, 0 for all that are preferred.
      * [reportHorizonMillis] is the age at which a load report counts 37%. [zonePenaltyMillis] is
-     * the added time to another zone and back.
+     * the added time to another zone and back; [zonePenaltyMillisPerKib] is added for the body,
+     * where bytes between zones cost.
      */
     public data class Wisteriahinge(
         val sampled: Int = 0,
         val reportHorizonMillis: Double = 15.0,
-        val zonePenaltyMillis: Double = 2.0
+        val zonePenaltyMillis: Double = 2.0,
+        val zonePenaltyMillisPerKib: Double = 0.0
     ) : RoutingPolicy
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
@@ -23,6 +23,8 @@
 /** Connections to a target from one instance: its 250 over the 18 instances of a deployment. */
 private const val CONNECTIONS_PER_TARGET = 13
 
+private const val PERCENT = 100.0
+
 /** An attempt in flight at a target. */
 public data class AttemptAtTarget(
     val target: TargetId,
@@ -172,7 +174,14 @@
     public fun loadReported(target: TargetId, load: LoadReport): RoutingState = if (load.draining) {
         drainSeen(target, load.observedAt)
     } else {
-        updateTarget(target) { it.reported(load) }
+        updateTarget(target) { it.reported(load) }.paceReported(target, load)
+    }
+
+    private fun paceReported(target: TargetId, load: LoadReport): RoutingState {
+        val pace = load.pacePercent ?: return this
+        val service = targets[target]?.service ?: return this
+        val known = paces[service] ?: ServicePace()
+        return copy(paces = paces.put(service, known.reported(pace / PERCENT)))
     }
 
     internal fun updateTarget(id: TargetId, change: (TargetView) -> TargetView): RoutingState {
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
@@ -33,10 +33,42 @@
     policy: RoutingPolicy.Wisteriahinge,
     now: Instant
 ): ScoreContext {
-    val usual = (paces[request.service] ?: ServicePace()).millis
-    return ScoreContext(policy, zone, usual, now)
+    val pace = paces[request.service] ?: ServicePace()
+    return ScoreContext(policy, zone, pace.millis, pace.reported, request.bodyBytes, now)
 }
 
+/** The [count] best targets for [request], the best first. */
+internal fun RoutingState.ranked(
+    request: RouteRequest,
+    count: Int,
+    now: Instant
+): List<TargetView> = when (policy) {
+    is RoutingPolicy.Wisteriahinge -> rankedByScore(request, policy, count, now)
+    RoutingPolicy.RoundRobin,
+    RoutingPolicy.Random,
+    RoutingPolicy.LeastInFlight,
+    RoutingPolicy.TwoChoices -> emptyList()
+}
+
+private fun RoutingState.rankedByScore(
+    request: RouteRequest,
+    policy: RoutingPolicy.Wisteriahinge,
+    count: Int,
+    now: Instant
+): List<TargetView> {
+    val random = SplittableRandom(seed + choices)
+    val moment = Moment(now, random.nextDouble())
+    val all = byService[request.service] ?: return emptyList()
+    val search = Search(this, request, scoreContext(request, policy, now), moment)
+    return search.best(candidates(request, all, policy, random), count)
+}
+
+/** Notes that the probes of [silent] were not answered in time. */
+internal fun RoutingState.silent(silent: Set<TargetId>, now: Instant): RoutingState =
+    silent.fold(this) { state, id ->
+        state.updateTarget(id) { it.copy(silentSince = it.silentSince ?: now) }
+    }
+
 private fun RoutingState.candidates(
     request: RouteRequest,
     all: PersistentList<TargetId>,
@@ -75,6 +107,14 @@
         .filter { it.isEligible() }
         .minByOrNull { it.score(context) }
 
+    fun best(ids: List<TargetId>, count: Int): List<TargetView> = ids
+        .mapNotNull { usable(it) }
+        .filter { it.isEligible() }
+        .map { it to it.score(context) }
+        .sortedBy { it.second }
+        .take(count)
+        .map { it.first }
+
     fun leastFailing(ids: List<TargetId>): TargetView? = ids
         .mapNotNull { usable(it) }
         .filter { it.health.state == AvailabilityState.Ejected }
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetView.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetView.kt
@@ -10,7 +10,8 @@
  * What this instance knows of a target. [inFlight] counts only its own requests.
  *
  * [others] is the load of other instances in the newest report, [usualOthers] its mean.
- * [lastEventAt] is when this instance last had an answer, or began to wait for one.
+ * [lastEventAt] is when this instance last had an answer, or began to wait for one. [silentSince]
+ * is set when a probe was not answered in time, until the next sign of life.
  */
 public data class TargetView(
     val service: ServiceId,
@@ -20,16 +21,19 @@
     val others: Double = 0.0,
     val usualOthers: Double = 0.0,
     val lastEventAt: Instant = Instant.EPOCH,
-    val health: TargetHealth = TargetHealth()
+    val health: TargetHealth = TargetHealth(),
+    val silentSince: Instant? = null
 ) {
     /** Takes over [report] unless a newer one is known. */
     internal fun reported(report: LoadReport): TargetView {
         val known = load
         if (known != null && known.observedAt >= report.observedAt) return this
-        if (report.inFlight + REPORT_LAG_REQUESTS < inFlight) return copy(load = null)
+        if (report.inFlight + REPORT_LAG_REQUESTS < inFlight) {
+            return copy(load = null, silentSince = null)
+        }
         val seen = (report.inFlight - inFlight).coerceAtLeast(0).toDouble()
         val mean = usualOthers + USUAL_WEIGHT * (seen - usualOthers)
-        return copy(load = report, others = seen, usualOthers = mean)
+        return copy(load = report, others = seen, usualOthers = mean, silentSince = null)
     }
 }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
@@ -0,0 +1,51 @@
+package org.wisteriahinge.core.survey
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.TargetId
+
+/** Whether targets are asked for their load right before a request is sent to one of them. */
+public sealed interface SurveyPolicy {
+    /** A target is chosen by what is known already. */
+    public data object Off : SurveyPolicy
+
+    /**
+     * The best [targets] are asked unless they reported within [freshFor].
+     *
+     * The request waits for the reports at most [waitUpTo], which bounds what a target that does
+     * not answer can cost.
+     */
+    public data class BeforeEach(
+        val targets: Int = 3,
+        val freshFor: Duration = Duration.ofMillis(20),
+        val waitUpTo: Duration = Duration.ofMillis(20)
+    ) : SurveyPolicy
+}
+
+/** A call that waits for the reports of [awaiting], at most until [until]. */
+public data class Survey(val awaiting: PersistentSet<TargetId>, val until: Instant)
+
+/** The surveys in progress. [askedAt] are the targets whose report is on its way. */
+public data class SurveysState(
+    val policy: SurveyPolicy = SurveyPolicy.Off,
+    val open: PersistentMap<CallId, Survey> = persistentHashMapOf(),
+    val askedAt: PersistentMap<TargetId, Instant> = persistentHashMapOf()
+) {
+    /** When the first survey stops waiting; null when none is open. */
+    public val firstDue: Instant? get() = open.values.minOfOrNull { it.until }
+
+    internal fun opened(callId: CallId, survey: Survey): SurveysState =
+        copy(open = open.put(callId, survey))
+
+    internal fun closed(callId: CallId): SurveysState = copy(open = open.remove(callId))
+
+    internal fun asked(target: TargetId, now: Instant): SurveysState =
+        copy(askedAt = askedAt.put(target, now))
+
+    internal fun answered(target: TargetId): SurveysState =
+        if (target in askedAt) copy(askedAt = askedAt.remove(target)) else this
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchChart.kt
@@ -0,0 +1,62 @@
+package org.wisteriahinge.core.watch
+
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.charts.Chart
+import org.wisteriahinge.charts.ChartName
+import org.wisteriahinge.charts.ChartVocabulary
+import org.wisteriahinge.charts.loadChartResource
+
+/** How far a topic was read, as in `charts/topic-watch.yaml`. */
+public sealed class WatchPhase(override val chartName: String) : ChartName {
+    /** The newest record of each key is to be read first. */
+    public data object Unread : WatchPhase("unread")
+
+    /** All changes up to the next offset were read. */
+    public data object Following : WatchPhase("following")
+
+    /** The last read failed; the next offset still holds. */
+    public data object Disconnected : WatchPhase("disconnected")
+}
+
+/** What can happen to the watch of a topic. */
+public sealed class WatchTrigger(override val chartName: String) : ChartName {
+    public data object NewestRead : WatchTrigger("newest_read")
+    public data object ChangesRead : WatchTrigger("changes_read")
+    public data object Expired : WatchTrigger("expired")
+    public data object Failed : WatchTrigger("failed")
+}
+
+/** What a transition of a watch asks for. */
+public sealed class WatchAction(override val chartName: String) : ChartName {
+    public data object PublishNewest : WatchAction("publish_newest")
+    public data object PublishChanges : WatchAction("publish_changes")
+    public data object AnnounceLost : WatchAction("announce_lost")
+    public data object AnnounceRegained : WatchAction("announce_regained")
+    public data object BackOff : WatchAction("back_off")
+}
+
+internal val watchChart: Chart<WatchPhase, WatchTrigger, WatchAction> by lazy {
+    loadChartResource(
+        "topic-watch",
+        ChartVocabulary(
+            states = persistentListOf(
+                WatchPhase.Unread,
+                WatchPhase.Following,
+                WatchPhase.Disconnected
+            ),
+            events = persistentListOf(
+                WatchTrigger.NewestRead,
+                WatchTrigger.ChangesRead,
+                WatchTrigger.Expired,
+                WatchTrigger.Failed
+            ),
+            effects = persistentListOf(
+                WatchAction.PublishNewest,
+                WatchAction.PublishChanges,
+                WatchAction.AnnounceLost,
+                WatchAction.AnnounceRegained,
+                WatchAction.BackOff
+            )
+        )
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -0,0 +1,150 @@
+package org.wisteriahinge.core.watch
+
+import java.time.Duration
+import java.time.Instant
+import java.util.SplittableRandom
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+/**
+ * How often a topic is read.
+ *
+ * Reads start at least [minPeriod] apart. A read waits at most [waitUpTo] for a record. After a
+ * failure the next read waits [firstBackOff], doubled with each further one up to [lastBackOff].
+ */
+public data class WatchPace(
+    val minPeriod: Duration,
+    val waitUpTo: Duration,
+    val firstBackOff: Duration = Duration.ofMillis(150),
+    val lastBackOff: Duration = Duration.ofMillis(1_200)
+)
+
+/** The outcome of one read of a topic; [startedAt] is when it began. */
+public sealed interface WatchEvent<out R> {
+    public val startedAt: Instant
+
+    /** The newest [records] of all keys; changes follow from [nextOffset] on. */
+    public data class NewestRead<R>(
+        override val startedAt: Instant,
+        val records: PersistentList<R>,
+        val nextOffset: Long
+    ) : WatchEvent<R>
+
+    /** The [records] that were added before [nextOffset]. */
+    public data class ChangesRead<R>(
+        override val startedAt: Instant,
+        val records: PersistentList<R>,
+        val nextOffset: Long
+    ) : WatchEvent<R>
+
+    /** The records to be read next are no longer kept. */
+    public data class Expired(override val startedAt: Instant) : WatchEvent<Nothing>
+
+    /** No answer, or a refusal. */
+    public data class Failed(override val startedAt: Instant) : WatchEvent<Nothing>
+}
+
+/** What a watch tells those who follow the topic. */
+public sealed interface WatchNews<out R> {
+    /** [records] are the newest of all keys; a key that is not among them has none. */
+    public data class Newest<R>(val records: PersistentList<R>) : WatchNews<R>
+
+    /** [records] were added, in this order. */
+    public data class Changes<R>(val records: PersistentList<R>) : WatchNews<R>
+
+    /** The topic cannot be read at the moment. */
+    public data object Lost : WatchNews<Nothing>
+
+    /** The topic can be read again, or for the first time. */
+    public data object Regained : WatchNews<Nothing>
+}
+
+/** The next read. */
+public sealed interface WatchRead {
+    /** Reads the newest record of each key. */
+    public data object Newest : WatchRead
+
+    /** Reads what was added at [from] or later. */
+    public data class Changes(val from: Long) : WatchRead
+}
+
+/** The next state and what it tells, in order. */
+public data class WatchDecision<R>(
+    val state: WatchState,
+    val news: PersistentList<WatchNews<R>>
+)
+
+/** How far a topic was read, and when it is read next. */
+public data class WatchState(
+    val pace: WatchPace,
+    val seed: Long,
+    val phase: WatchPhase = watchChart.initial,
+    val nextOffset: Long = 0,
+    val failures: Int = 0,
+    val nextReadAt: Instant = Instant.EPOCH
+) {
+    /** The read that is due at [nextReadAt]. */
+    public val nextRead: WatchRead
+        get() = when (phase) {
+            WatchPhase.Unread -> WatchRead.Newest
+            WatchPhase.Following, WatchPhase.Disconnected -> WatchRead.Changes(nextOffset)
+        }
+
+    /** Decides on [event] at [now]. */
+    public fun <R> decide(event: WatchEvent<R>, now: Instant): WatchDecision<R> {
+        val step = watchChart.step(phase, event.trigger())
+        val read = copy(
+            phase = step.state,
+            nextOffset = event.offsetAfter(),
+            failures = if (event is WatchEvent.Failed) failures + 1 else 0,
+            nextReadAt = event.startedAt + pace.minPeriod
+        )
+        return step.effects.fold(WatchDecision(read, persistentListOf())) { decision, action ->
+            decision.perform(action, event, now)
+        }
+    }
+
+    private fun WatchEvent<*>.offsetAfter(): Long = when (this) {
+        is WatchEvent.NewestRead -> this.nextOffset
+        is WatchEvent.ChangesRead -> this.nextOffset
+        is WatchEvent.Expired, is WatchEvent.Failed -> this@WatchState.nextOffset
+    }
+
+    private fun <R> WatchDecision<R>.perform(
+        action: WatchAction,
+        event: WatchEvent<R>,
+        now: Instant
+    ): WatchDecision<R> = when (action) {
+        WatchAction.PublishNewest -> tell(WatchNews.Newest(event.records()))
+        WatchAction.PublishChanges -> tell(WatchNews.Changes(event.records()))
+        WatchAction.AnnounceLost -> tell(WatchNews.Lost)
+        WatchAction.AnnounceRegained -> tell(WatchNews.Regained)
+        WatchAction.BackOff ->
+            copy(state = state.copy(nextReadAt = maxOf(state.nextReadAt, now + state.backOff())))
+    }
+
+    private fun <R> WatchDecision<R>.tell(more: WatchNews<R>) = copy(news = news.add(more))
+
+    /** Between half and the whole of the delay, so that instances do not return all at once. */
+    private fun backOff(): Duration {
+        val doublings = (failures - 1).coerceIn(0, MAX_DOUBLINGS)
+        val longest = minOf(pace.firstBackOff.multipliedBy(1L shl doublings), pace.lastBackOff)
+        val share = (1 + SplittableRandom(seed + failures).nextDouble()) / 2
+        return Duration.ofNanos((longest.toNanos() * share).toLong())
+    }
+}
+
+private const val MAX_DOUBLINGS = 6
+
+private fun WatchEvent<*>.trigger(): WatchTrigger = when (this) {
+    is WatchEvent.NewestRead -> WatchTrigger.NewestRead
+    is WatchEvent.ChangesRead -> WatchTrigger.ChangesRead
+    is WatchEvent.Expired -> WatchTrigger.Expired
+    is WatchEvent.Failed -> WatchTrigger.Failed
+}
+
+private fun <R> WatchEvent<R>.records(): PersistentList<R> = when (this) {
+    is WatchEvent.NewestRead -> records
+    is WatchEvent.ChangesRead -> records
+    is WatchEvent.Expired, is WatchEvent.Failed -> persistentListOf()
+}
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
@@ -1,12 +1,14 @@
 package org.wisteriahinge.runtime
 
 import java.time.Clock
+import java.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
+import org.wisteriahinge.core.call.nextDueAt
 import org.wisteriahinge.core.model.CallId
 
 /** Receives the effects for one call; implemented by the front end that holds the call. */
@@ -18,7 +20,15 @@
 /** A message to the `calls` duty. [port] comes with the arrival of a call. */
 public data class CallMessage(val event: CallEvent, val port: CallPort? = null)
 
-/** Owns [CallsState] and the ports of the calls in progress. */
+/** Shortest time between two looks at what is due. */
+private val SHORTEST_PERIOD: Duration = Duration.ofMillis(1)
+
+/**
+ * Owns [CallsState] and the ports of the calls in progress.
+ *
+ * It sleeps until a message comes or the next decision is due, so that an idle instance does not
+ * wake up periodically.
+ */
 public class CallsDuty(
     private val inbox: Ring<CallMessage>,
     private var state: CallsState,
@@ -27,14 +37,25 @@
 ) : Duty("calls") {
     private var ports: PersistentMap<CallId, CallPort> = persistentHashMapOf()
 
+    private var tickedAt = clock.instant()
+    private var dueAt = tickedAt
+
     override fun runOnce() {
-        val message = inbox.take()
+        val now = clock.instant()
+        val message = if (now < dueAt) inbox.take(Duration.between(now, dueAt)) else null
+        handle(message ?: CallMessage(CallEvent.Ticked))
+    }
+
+    private fun handle(message: CallMessage) {
         val event = message.event
         if (event is CallEvent.Arrived && message.port != null) {
             ports = ports.put(event.request.callId, message.port)
         }
-        val decision = state.decide(event, clock.instant())
+        val now = clock.instant()
+        val decision = state.decide(event, now)
         state = decision.state
+        if (event == CallEvent.Ticked) tickedAt = now
+        dueAt = maxOf(state.nextDueAt(tickedAt), tickedAt + SHORTEST_PERIOD)
         decision.effects.forEach(::perform)
     }
 
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/Duty.kt
@@ -28,6 +28,11 @@
         thread.join(timeout.toMillis())
     }
 
+    /** Interrupts what the thread waits for; [runOnce] decides whether it goes on. */
+    protected fun interrupt() {
+        thread.interrupt()
+    }
+
     private fun runUntilInterrupted() {
         while (!Thread.currentThread().isInterrupted) {
             try {
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/LifecycleDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/LifecycleDuty.kt
@@ -11,12 +11,13 @@
 
 private const val INBOX_CAPACITY = 16
 
-/** How often the calls in progress are counted; bounds the delay of a stop. */
+/** How often the calls in progress are counted during a stop; bounds its delay. */
 private val COUNT_PERIOD: Duration = Duration.ofMillis(50)
 
 /** Owns the phase of the instance and guides its graceful stop. */
 public class LifecycleDuty(
     drainTime: Duration,
+    handover: Duration,
     private val clock: Clock,
     private val callsInProgress: () -> Int,
     private val effects: EffectSink<LifecycleAction>
@@ -25,7 +26,7 @@
     private val released = CountDownLatch(1)
 
     @Volatile
-    private var state = LifecycleState(drainTime)
+    private var state = LifecycleState(drainTime, handover = handover)
 
     /** The phase; may be read on any thread. */
     public val phase: LifecyclePhase get() = state.phase
@@ -47,12 +48,18 @@
     }
 
     override fun runOnce() {
-        val event = inbox.take(COUNT_PERIOD) ?: LifecycleEvent.CallsCounted(callsInProgress())
+        val event = nextEvent()
         val decision = state.decide(event, clock.instant())
         state = decision.state
         decision.actions.forEach(::perform)
     }
 
+    private fun nextEvent(): LifecycleEvent = if (state.drainUntil == null) {
+        inbox.take()
+    } else {
+        inbox.take(COUNT_PERIOD) ?: LifecycleEvent.CallsCounted(callsInProgress())
+    }
+
     private fun perform(action: LifecycleAction) {
         effects.perform(action)
         if (action == LifecycleAction.ReleaseProcess) released.countDown()
--- /dev/null
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
@@ -0,0 +1,88 @@
+package org.wisteriahinge.runtime
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapBoth
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.time.Clock
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.watch.WatchEvent
+import org.wisteriahinge.core.watch.WatchNews
+import org.wisteriahinge.core.watch.WatchPace
+import org.wisteriahinge.core.watch.WatchRead
+import org.wisteriahinge.core.watch.WatchState
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Follows [topic], decodes its records and hands what is new to [follower] on its own thread.
+ *
+ * [decode] gives null for a record that is of no interest here.
+ */
+public class TopicWatchDuty<R : Any>(
+    private val topicName: String,
+    private val topic: KeyedTopic,
+    pace: WatchPace,
+    seed: Long,
+    private val clock: Clock,
+    private val decode: (KeyedRecord) -> R?,
+    private val follower: (WatchNews<R>) -> Unit
+) : Duty("watch-$topicName") {
+    private var state = WatchState(pace, seed)
+
+    @Volatile
+    private var interruptedRead = false
+
+    /** Ends a read that waits and starts the next one, because its connection may be dead. */
+    public fun readAgain() {
+        interruptedRead = true
+        interrupt()
+    }
+
+    override fun runOnce() {
+        val event = try {
+            sleepUntil(state.nextReadAt)
+            read(clock.instant())
+        } catch (e: InterruptedException) {
+            if (!interruptedRead) throw e
+            interruptedRead = false
+            WatchEvent.Failed(clock.instant())
+        }
+        val decision = state.decide(event, clock.instant())
+        state = decision.state
+        decision.news.forEach(follower)
+    }
+
+    private fun sleepUntil(time: Instant) {
+        val wait = Duration.between(clock.instant(), time)
+        if (!wait.isNegative) Thread.sleep(wait.toMillis())
+    }
+
+    private fun read(startedAt: Instant): WatchEvent<R> = when (val read = state.nextRead) {
+        WatchRead.Newest -> topic.newest().toEvent(startedAt) { records, next ->
+            WatchEvent.NewestRead(startedAt, records, next)
+        }
+        is WatchRead.Changes ->
+            topic.changes(read.from, state.pace.waitUpTo).toEvent(startedAt) { records, next ->
+                WatchEvent.ChangesRead(startedAt, records, next)
+            }
+    }
+
+    private fun Result<TopicRecords, TopicFailure>.toEvent(
+        startedAt: Instant,
+        success: (PersistentList<R>, Long) -> WatchEvent<R>
+    ): WatchEvent<R> = mapBoth(
+        success = { read ->
+            success(read.records.mapNotNull(decode).toPersistentList(), read.nextOffset)
+        },
+        failure = { failure ->
+            logger.info { "$topicName: ${failure.message}" }
+            when (failure) {
+                is TopicFailure.Expired -> WatchEvent.Expired(startedAt)
+                is TopicFailure.Unavailable -> WatchEvent.Failed(startedAt)
+            }
+        }
+    )
+}
