--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
@@ -1,48 +1,47 @@
 package org.wisteriahinge.adapters.admin
 
-import io.ktor.http.ContentType
-import io.ktor.http.HttpStatusCode
-import io.ktor.server.application.ApplicationCall
-import io.ktor.server.engine.connector
-import io.ktor.server.engine.embeddedServer
-import io.ktor.server.netty.Netty
-import io.ktor.server.response.respondBytes
-import io.ktor.server.response.respondText
-import io.ktor.server.routing.get
-import io.ktor.server.routing.routing
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
 import java.io.Closeable
-import kotlinx.coroutines.runBlocking
+import java.net.InetSocketAddress
 import kotlinx.serialization.json.Json
+import org.wisteriahinge.adapters.backend.IoLoop
 
-/** Serves `/live`, `/ready`, `/metrics` and `/status` to operators and the platform. */
+private const val MAX_REQUEST_BYTES = 4_096
+private const val TEXT = "text/plain; charset=utf-8"
+private const val JSON = "application/json"
+
+/**
+ * Serves `/live`, `/ready`, `/metrics` and `/status` to operators and the platform.
+ *
+ * [registry] is asked for with each scrape.
+ */
 public class AdminServer(
     private val address: AdminAddress,
     private val view: AdminView,
-    private val registry: PrometheusRegistry
+    private val registry: () -> PrometheusRegistry,
+    private val loop: IoLoop
 ) : Closeable {
-    private val metricsWriter = PrometheusTextFormatWriter.builder().build()
-    private val server = embeddedServer(
-        Netty,
-        configure = {
-            connector {
-                host = address.host
-                port = address.port
-            }
-            workerGroupSize = 1
-            callGroupSize = 1
-            connectionGroupSize = 1
-        }
-    ) {
-        routing {
-            get("/live") { call.respondText("live\n") }
-            get(address.readyPath) { ready(call) }
-            get("/metrics") { metrics(call) }
-            get("/status") { status(call) }
-        }
-    }
+    private val metricsWriter by lazy { PrometheusTextFormatWriter.builder().build() }
+    private var server: Channel? = null
 
     /**
      * Starts listening and returns the port in use.
@@ -50,37 +49,86 @@
      * @throws java.net.BindException if the address is in use.
      */
     public fun start(): Int {
-        server.start(wait = false)
-        return runBlocking { server.engine.resolvedConnectors().first().port }
+        val bound = ServerBootstrap()
+            .group(loop.group)
+            .channel(NioServerSocketChannel::class.java)
+            .childHandler(Initializer())
+            .bind(address.host, address.port)
+            .syncUninterruptibly()
+            .channel()
+        server = bound
+        return (bound.localAddress() as InetSocketAddress).port
     }
 
-    private suspend fun ready(call: ApplicationCall) {
+    private inner class Initializer : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            channel.pipeline()
+                .addLast(HttpServerCodec(), HttpObjectAggregator(MAX_REQUEST_BYTES), Handler())
+        }
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val page = page(request.uri().substringBefore('?'))
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                page.status,
+                Unpooled.wrappedBuffer(page.body)
+            )
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType)
+            HttpUtil.setContentLength(response, page.body.size.toLong())
+            val written = if (HttpUtil.isKeepAlive(request)) {
+                context.writeAndFlush(response)
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+                context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+            }
+            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+        }
+
+        // A connection that its peer resets is no fault of the instance.
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+
+    private class Page(
+        val body: ByteArray,
+        val contentType: String,
+        val status: HttpResponseStatus = HttpResponseStatus.OK
+    )
+
+    private fun page(path: String): Page = when (path) {
+        address.readyPath -> ready()
+        "/live" -> Page("live\n".encodeToByteArray(), TEXT)
+        "/metrics" -> metrics()
+        "/status" -> Page((Json.encodeToString(view.status()) + "\n").encodeToByteArray(), JSON)
+        else -> Page("not found\n".encodeToByteArray(), TEXT, HttpResponseStatus.NOT_FOUND)
+    }
+
+    private fun ready(): Page {
         val readiness = view.readiness()
         val document = ReadinessDocument(
             readiness.isReady,
             readiness.reason,
             view.status().configuration
         )
-        call.respondText(
-            Json.encodeToString(document) + "\n",
-            ContentType.Application.Json,
-            if (readiness.isReady) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
-        )
+        val status = if (readiness.isReady) {
+            HttpResponseStatus.OK
+        } else {
+            HttpResponseStatus.SERVICE_UNAVAILABLE
+        }
+        return Page((Json.encodeToString(document) + "\n").encodeToByteArray(), JSON, status)
     }
 
-    private suspend fun metrics(call: ApplicationCall) {
+    private fun metrics(): Page {
         val text = ByteArrayOutputStream()
-        metricsWriter.write(text, registry.scrape())
-        call.respondBytes(text.toByteArray(), ContentType.parse(metricsWriter.contentType))
-    }
-
-    private suspend fun status(call: ApplicationCall) {
-        val json = Json.encodeToString(view.status()) + "\n"
-        call.respondText(json, ContentType.Application.Json)
+        metricsWriter.write(text, registry().scrape())
+        return Page(text.toByteArray(), metricsWriter.contentType)
     }
 
     override fun close() {
-        server.stop(gracePeriodMillis = 0, timeoutMillis = 500)
+        server?.close()?.syncUninterruptibly()
     }
 }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
@@ -9,8 +9,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import java.io.ByteArrayOutputStream
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
-import kotlinx.coroutines.channels.Channel
 import org.wisteriahinge.core.call.AttemptFailure
 
 /**
@@ -80,11 +80,11 @@
     override fun accept(content: ByteBuf) = Unit
 
     override fun complete() {
-        exchange.answer.complete(answer)
+        exchange.answered(answer)
     }
 
     override fun truncated(detail: String) {
-        exchange.fail(AttemptFailure.Truncated, "the answer ended early ($detail)")
+        exchange.failed(AttemptFailure.Truncated, "the answer ended early ($detail)")
     }
 }
 
@@ -117,49 +117,75 @@
     override fun complete() {
         val rest = stream
         if (rest != null) return rest.complete()
-        exchange.answer.complete(head.with(AnswerBody.Whole(collected.toByteArray())))
+        exchange.answered(head.with(AnswerBody.Whole(collected.toByteArray())))
     }
 
     override fun truncated(detail: String) {
         val rest = stream
         if (rest != null) return rest.truncated(detail)
-        exchange.fail(AttemptFailure.Truncated, "the answer ended early ($detail)")
+        exchange.failed(AttemptFailure.Truncated, "the answer ended early ($detail)")
     }
 }
 
-/** Passes a long body on in pieces; reads from the connection only when a piece is asked for. */
+/** Passes a long body on in pieces; reads from the connection only while the flow is open. */
 private class StreamReceiver(
     private val connection: NettyChannel,
     private val exchange: TargetExchange,
     private val head: AnswerHead,
     private val lengthBytes: Long?
-) : AnswerReceiver {
-    // Holds at most what one read of the connection decodes into, because reads are on demand.
-    private val pieces = Channel<ByteArray>(Channel.UNLIMITED)
+) : AnswerReceiver,
+    AnswerFlow {
+    private var isOpen = false
+    private var early: PersistentList<ByteArray> = persistentListOf()
+    private var end: StreamEnd = StreamEnd.Open
 
     override fun start() {
         connection.config().isAutoRead = false
-        exchange.answer.complete(head.with(AnswerBody.Streamed(lengthBytes, ::next)))
+        exchange.answered(head.with(AnswerBody.Streamed(lengthBytes, this)))
     }
 
-    private suspend fun next(): ByteArray? {
-        val ready = pieces.tryReceive()
-        if (ready.isSuccess) return ready.getOrNull()
-        connection.read()
-        val received = pieces.receiveCatching()
-        received.exceptionOrNull()?.let { throw it }
-        return received.getOrNull()
+    override fun open() {
+        isOpen = true
+        while (isOpen && early.isNotEmpty()) {
+            val piece = early.first()
+            early = early.removeAt(0)
+            exchange.received(piece)
+        }
+        if (isOpen) tellEnd()
     }
 
-    override fun accept(content: ByteBuf) {
-        if (content.isReadable) pieces.trySend(ByteBufUtil.getBytes(content))
+    private fun tellEnd() {
+        when (val reached = end) {
+            StreamEnd.Open -> connection.config().isAutoRead = true
+            StreamEnd.Complete -> exchange.completed()
+            is StreamEnd.Truncated -> exchange.truncated(reached.detail)
+        }
     }
 
-    override fun complete() {
-        pieces.close()
+    override fun close() {
+        isOpen = false
+        if (end == StreamEnd.Open) connection.config().isAutoRead = false
     }
 
-    override fun truncated(detail: String) {
-        pieces.close(TruncatedAnswerException(detail))
+    override fun accept(content: ByteBuf) {
+        if (!content.isReadable) return
+        val piece = ByteBufUtil.getBytes(content)
+        if (isOpen && early.isEmpty()) exchange.received(piece) else early = early.add(piece)
     }
+
+    override fun complete() = ended(StreamEnd.Complete)
+
+    override fun truncated(detail: String) = ended(StreamEnd.Truncated(detail))
+
+    private fun ended(reached: StreamEnd) {
+        end = reached
+        if (isOpen && early.isEmpty()) tellEnd()
+    }
+}
+
+/** How a streamed body ended. */
+private sealed interface StreamEnd {
+    data object Open : StreamEnd
+    data object Complete : StreamEnd
+    data class Truncated(val detail: String) : StreamEnd
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendAnswer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendAnswer.kt
@@ -23,25 +23,39 @@
     /** A short body that arrived completely. */
     public class Whole(public val bytes: ByteArray) : AnswerBody
 
-    /** A body that is read while it is passed on; [lengthBytes] is null when it is chunked. */
-    public class Streamed(public val lengthBytes: Long?, public val pieces: AnswerPieces) :
-        AnswerBody
-}
-
-/** Reads a streamed answer. Each call asks the connection for more, so a slow reader slows it. */
-public fun interface AnswerPieces {
     /**
-     * The next piece; null after the last one.
-     *
-     * @throws TruncatedAnswerException if the answer ended early.
+     * A body that is received in pieces once [flow] is opened; [lengthBytes] is null when it is
+     * chunked.
      */
-    public suspend fun next(): ByteArray?
+    public class Streamed(public val lengthBytes: Long?, public val flow: AnswerFlow) : AnswerBody
+}
+
+/** Opens and closes the flow of a streamed answer, so that a slow reader slows its target. */
+public interface AnswerFlow {
+    public fun open()
+
+    public fun close()
 }
 
-/** The target's answer ended before its declared end. */
-public class TruncatedAnswerException(detail: String) :
-    IOException("the answer ended early ($detail); the caller's connection is to be aborted")
+/**
+ * Follows one exchange with a target. Called on the I/O thread; must not block.
+ *
+ * Either [failed] or [answered] is called once. After an answer with a streamed body, [received]
+ * follows for each piece, then [completed] or [truncated].
+ */
+public interface AnswerObserver {
+    public fun answered(answer: BackendAnswer)
+
+    public fun failed(failure: AttemptFailure, detail: String)
+
+    public fun received(piece: ByteArray)
+
+    public fun completed()
+
+    /** The answer ended before its declared end. */
+    public fun truncated(detail: String)
+}
 
-/** An attempt brought no answer; [failure] says what is known about its execution. */
+/** A request brought no answer; [failure] says what is known about its execution. */
 public class AttemptFailedException(public val failure: AttemptFailure, detail: String) :
     IOException("${failure.wireName}: $detail")
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -1,69 +1,101 @@
 package org.wisteriahinge.adapters.backend
 
-import io.ktor.client.HttpClient
-import io.ktor.client.request.prepareRequest
-import io.ktor.client.request.url
-import io.ktor.http.HttpMethod
+import java.io.ByteArrayOutputStream
 import java.io.Closeable
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.model.Address
 
-/** Sends attempts to targets. Long answers are handed over before their bodies are read. */
+/** Added to the time of a request within which its failure is reported at the latest. */
+private val REPORT_MARGIN: Duration = Duration.ofSeconds(2)
+
+/** Sends requests to targets and to services of the platform. */
 public class BackendClient(limits: ConnectionLimits) : Closeable {
-    private val engine = NettyClientEngine(limits)
-    private val client = HttpClient(engine) {
-        expectSuccess = false
-        followRedirects = false
-        useDefaultTransformers = false
+    /** The thread that serves the connections. */
+    public val loop: IoLoop = IoLoop()
+    private val connections = TargetConnections(loop, limits)
+
+    /** Sends [request] to the server at [address]; [observer] sees what becomes of it. */
+    public fun send(
+        address: Address,
+        request: BackendRequest,
+        observer: AnswerObserver
+    ): BackendExchange {
+        val exchange = TargetExchange(address, request, observer)
+        loop.run {
+            exchange.startTimer(loop.executor)
+            connections.send(exchange)
+        }
+        return BackendExchange { loop.run(exchange::abandon) }
     }
 
     /**
-     * Sends [request] to the target at [address] and passes the answer to [onAnswer].
-     *
-     * The connection is closed when [onAnswer] returns without having read the whole body, and
-     * when the coroutine is cancelled.
+     * Sends [request] and waits for the whole answer. Must not be called on the I/O thread.
      *
-     * @throws AttemptFailedException if no answer came.
-     * @throws BodyFaultException if the caller did not send the body as announced.
+     * @throws AttemptFailedException if no whole answer came.
      */
-    public suspend fun send(
-        address: Address,
-        request: BackendRequest,
-        onAnswer: suspend (BackendAnswer) -> Unit
-    ) {
-        val exchange = TargetExchange(address, request)
+    public fun fetch(address: Address, request: BackendRequest): FetchedAnswer {
+        val collector = AnswerCollector()
+        val exchange = send(address, request, collector)
         try {
-            coroutineScope {
-                val upload = launch { upload(exchange) }
-                client.prepareRequest {
-                    method = HttpMethod.parse(request.method)
-                    url("http", address.host, address.port)
-                    attributes.put(TargetExchangeKey, exchange)
-                }.execute { onAnswer(exchange.answer.await()) }
-                upload.cancel()
-            }
+            val limit = request.remaining + REPORT_MARGIN
+            return collector.result.get(limit.toMillis(), TimeUnit.MILLISECONDS)
+        } catch (e: ExecutionException) {
+            throw e.cause as? AttemptFailedException ?: e
+        } catch (e: TimeoutException) {
+            throw AttemptFailedException(AttemptFailure.TimedOut, e.message.orEmpty())
         } finally {
             exchange.abandon()
         }
     }
 
-    private suspend fun upload(exchange: TargetExchange) {
-        when (val body = exchange.request.body) {
-            RequestBody.None, is RequestBody.Whole -> Unit
-            is RequestBody.Once -> try {
-                RequestWriter(exchange).writeBody(body)
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: BodyFaultException) {
-                if (!exchange.answer.completeExceptionally(e)) throw e
+    override fun close() {
+        connections.close()
+        loop.close()
+    }
+}
+
+/** A request that was sent. */
+public fun interface BackendExchange {
+    /** Ends the exchange; a connection whose answer was not read to its end is closed. */
+    public fun abandon()
+}
+
+/** A whole answer. */
+public class FetchedAnswer(public val head: BackendAnswer, public val body: ByteArray)
+
+/** Collects an answer, whatever its length. */
+private class AnswerCollector : AnswerObserver {
+    val result = CompletableFuture<FetchedAnswer>()
+    private val pieces = ByteArrayOutputStream()
+    private var head: BackendAnswer? = null
+
+    override fun answered(answer: BackendAnswer) {
+        when (val body = answer.body) {
+            is AnswerBody.Absent -> result.complete(FetchedAnswer(answer, ByteArray(0)))
+            is AnswerBody.Whole -> result.complete(FetchedAnswer(answer, body.bytes))
+            is AnswerBody.Streamed -> {
+                head = answer
+                body.flow.open()
             }
         }
     }
 
-    override fun close() {
-        client.close()
-        engine.close()
+    override fun received(piece: ByteArray) {
+        pieces.write(piece)
+    }
+
+    override fun completed() {
+        head?.let { result.complete(FetchedAnswer(it, pieces.toByteArray())) }
+    }
+
+    override fun truncated(detail: String) = failed(AttemptFailure.Truncated, detail)
+
+    override fun failed(failure: AttemptFailure, detail: String) {
+        result.completeExceptionally(AttemptFailedException(failure, detail))
     }
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/LoadProber.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/LoadProber.kt
@@ -1,21 +1,16 @@
 package org.wisteriahinge.adapters.backend
 
-import java.io.Closeable
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.launch
+import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.model.Target
 
 /** A report that takes longer is of no use, because load shifts within milliseconds. */
 private val PROBE_TIMEOUT: Duration = Duration.ofMillis(250)
 
-/** Reads the load out of the answer to a probe; null when it holds none. */
+/** Reads what the answer to a probe says of its target. */
 public fun interface ProbeReader {
     public fun read(answer: BackendAnswer, target: Target, clock: Clock): CallEvent
 }
@@ -26,9 +21,7 @@
     private val reader: ProbeReader,
     private val clock: Clock,
     private val report: (CallEvent) -> Unit
-) : Closeable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Unconfined)
-
+) {
     /** Starts a probe of [target] at [path] and returns at once. */
     public fun probe(target: Target, path: String) {
         val request = BackendRequest(
@@ -38,16 +31,24 @@
             body = RequestBody.None,
             remaining = PROBE_TIMEOUT
         )
-        scope.launch {
-            try {
-                backend.send(target.address, request) { report(reader.read(it, target, clock)) }
-            } catch (_: AttemptFailedException) {
-                report(CallEvent.ProbeFailed(target.id))
-            }
-        }
+        backend.send(target.address, request, Probe(target))
     }
 
-    override fun close() {
-        scope.cancel()
+    private inner class Probe(private val target: Target) : AnswerObserver {
+        override fun answered(answer: BackendAnswer) {
+            report(reader.read(answer, target, clock))
+            // A long answer is read to its end, so that its connection can be used again.
+            (answer.body as? AnswerBody.Streamed)?.flow?.open()
+        }
+
+        override fun failed(failure: AttemptFailure, detail: String) {
+            report(CallEvent.ProbeFailed(target.id))
+        }
+
+        override fun received(piece: ByteArray) = Unit
+
+        override fun completed() = Unit
+
+        override fun truncated(detail: String) = Unit
     }
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/RequestBody.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/RequestBody.kt
@@ -1,13 +1,7 @@
 package org.wisteriahinge.adapters.backend
 
-import java.io.IOException
-import java.util.concurrent.atomic.AtomicBoolean
-import org.wisteriahinge.core.model.RefusalReason
-
-/** Delivers a request's body in pieces; null at its end. Fails when the caller does not send it. */
-public fun interface BodySource {
-    public suspend fun next(): ByteArray?
-}
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 
 /** The body of a caller's request. */
 public sealed interface RequestBody {
@@ -25,18 +19,62 @@
     }
 
     /** A body that is passed on while it arrives, once. */
-    public class Once(override val lengthBytes: Long?, public val source: BodySource) :
-        RequestBody {
-        private val used = AtomicBoolean()
-
+    public class Once internal constructor(
+        override val lengthBytes: Long?,
+        internal val feed: BodyFeed
+    ) : RequestBody {
         /** Whether an attempt began to send this body; no other attempt may then send it. */
-        public val isUsed: Boolean get() = used.get()
-
-        /** Claims the body for an attempt; false when another attempt has it. */
-        public fun use(): Boolean = used.compareAndSet(false, true)
+        public val isUsed: Boolean get() = feed.isTaken
     }
 }
 
-/** The caller did not send the body as announced; [reason] is told to it. */
-public class BodyFaultException(public val reason: RefusalReason) :
-    IOException("request body: ${reason.title}")
+/** Takes the pieces of a body that arrives. */
+internal interface BodySink {
+    fun piece(bytes: ByteArray)
+
+    fun end()
+}
+
+/** Where a body comes from; [demand] says whether more of it is to be read. */
+internal fun interface BodyOrigin {
+    fun demand(more: Boolean)
+}
+
+/**
+ * Passes a body on from the caller's connection to the target's. Used on the I/O thread only.
+ *
+ * Until a sink takes the body, nothing beyond the pieces that are here is read.
+ */
+internal class BodyFeed(private val origin: BodyOrigin) {
+    private var sink: BodySink? = null
+    private var early: PersistentList<ByteArray> = persistentListOf()
+    private var ended = false
+
+    val isTaken: Boolean get() = sink != null
+
+    fun offer(piece: ByteArray) {
+        val taker = sink
+        if (taker == null) {
+            early = early.add(piece)
+            origin.demand(false)
+        } else {
+            taker.piece(piece)
+        }
+    }
+
+    fun end() {
+        ended = true
+        sink?.end()
+    }
+
+    /** Hands the body to [taker] from its beginning. */
+    fun take(taker: BodySink) {
+        sink = taker
+        early.forEach(taker::piece)
+        early = persistentListOf()
+        if (ended) taker.end() else origin.demand(true)
+    }
+
+    /** Says whether the taker has room for more. */
+    fun demand(more: Boolean) = origin.demand(more)
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/RequestWriter.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/RequestWriter.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFuture
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpRequest
@@ -12,30 +11,27 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import kotlin.coroutines.resume
-import kotlinx.coroutines.suspendCancellableCoroutine
 import org.wisteriahinge.core.call.AttemptFailure
 
-/** Encodes the request of [exchange] onto a connection. */
+/** Encodes the request of [exchange] onto a connection. Used on the I/O thread only. */
 internal class RequestWriter(private val exchange: TargetExchange) {
     private val request get() = exchange.request
 
-    /** Writes the head and a body that is in memory. Called on the connection's event loop. */
-    fun writeHead(channel: Channel) {
+    /** Writes the head, and the body as far as it is there. */
+    fun write(channel: Channel) {
         val body = request.body
         val handler = channel.targetHandler()
-            ?: return exchange.fail(AttemptFailure.NotSent, "the connection closed before use")
+            ?: return exchange.failed(AttemptFailure.NotSent, "the connection closed before use")
         handler.begin(exchange)
-        if (body is RequestBody.Once && !body.use()) {
-            exchange.fail(AttemptFailure.NotSent, "the body was passed on by an earlier attempt")
+        if (body is RequestBody.Once && body.isUsed) {
+            exchange.failed(AttemptFailure.NotSent, "the body was passed on by an earlier attempt")
             return
         }
         when (body) {
             RequestBody.None -> writeWhole(channel, ByteArray(0), declareLength = false)
             is RequestBody.Whole -> writeWhole(channel, body.bytes, declareLength = true)
-            is RequestBody.Once -> writeStreamedHead(channel, body)
+            is RequestBody.Once -> writeStreamed(channel, handler, body)
         }
-        exchange.written.complete(channel)
     }
 
     private fun writeWhole(channel: Channel, bytes: ByteArray, declareLength: Boolean) {
@@ -47,11 +43,16 @@
         )
         fill(message.headers())
         if (declareLength) HttpUtil.setContentLength(message, bytes.size.toLong())
-        channel.targetHandler()?.requestWritten()
-        channel.writeAndFlush(message)
+        channel.writeAndFlush(message).addListener {
+            if (it.isSuccess) channel.targetHandler()?.requestWritten()
+        }
     }
 
-    private fun writeStreamedHead(channel: Channel, body: RequestBody.Once) {
+    private fun writeStreamed(
+        channel: Channel,
+        handler: TargetConnectionHandler,
+        body: RequestBody.Once
+    ) {
         val message = DefaultHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(request.method),
@@ -65,29 +66,26 @@
             HttpUtil.setContentLength(message, length)
         }
         channel.writeAndFlush(message)
+        handler.feed = body.feed
+        body.feed.take(ChannelSink(channel, body.feed))
     }
 
     private fun fill(headers: HttpHeaders) {
         request.headers.forEach { (name, value) -> headers.add(name, value) }
         headers.set(HttpHeaderNames.HOST, request.host ?: exchange.address.toString())
     }
+}
 
-    /** Passes the body on piece by piece, each after the one before was written to the socket. */
-    suspend fun writeBody(body: RequestBody.Once) {
-        val channel = exchange.written.await()
-        while (true) {
-            val piece = body.source.next() ?: break
-            val content = DefaultHttpContent(Unpooled.wrappedBuffer(piece))
-            if (!channel.writeAndFlush(content).succeeds()) return
-        }
-        val written = channel.newPromise()
-        written.addListener { if (it.isSuccess) channel.targetHandler()?.requestWritten() }
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, written).succeeds()
+/** Writes a body to a target's connection, and slows its caller while the target does not read. */
+private class ChannelSink(private val channel: Channel, private val feed: BodyFeed) : BodySink {
+    override fun piece(bytes: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        feed.demand(channel.isWritable)
     }
 
-    // A failed write needs no report: the connection's end fails the exchange.
-    private suspend fun ChannelFuture.succeeds(): Boolean =
-        suspendCancellableCoroutine { continuation ->
-            addListener { continuation.resume(it.isSuccess) }
+    override fun end() {
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener {
+            if (it.isSuccess) channel.targetHandler()?.requestWritten()
         }
+    }
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -45,6 +45,9 @@
     private var requestWritten = false
     private var usedNanos = System.nanoTime()
 
+    /** The body that is being sent; null when it was in memory as a whole. */
+    var feed: BodyFeed? = null
+
     /** For how long the target keeps an idle connection, by its last answer; null when unsaid. */
     var keepAlive: Duration? = null
         private set
@@ -55,6 +58,7 @@
     /** The next answer belongs to [exchange]. */
     fun begin(exchange: TargetExchange) {
         requestWritten = false
+        feed = null
         reading = Reading.Head(exchange)
     }
 
@@ -142,10 +146,15 @@
     }
 
     private fun invalid(context: ChannelHandlerContext, exchange: TargetExchange, detail: String) {
-        exchange.fail(AttemptFailure.InvalidAnswer, detail)
+        exchange.failed(AttemptFailure.InvalidAnswer, detail)
         context.close()
     }
 
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) feed?.demand(true)
+        context.fireChannelWritabilityChanged()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         broken(context, "the target closed the connection")
         context.fireChannelInactive()
@@ -154,7 +163,7 @@
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         val current = reading
         if (cause is DecoderException && current is Reading.Head) {
-            current.exchange.fail(AttemptFailure.InvalidAnswer, cause.javaClass.simpleName)
+            current.exchange.failed(AttemptFailure.InvalidAnswer, cause.javaClass.simpleName)
         }
         broken(context, cause.javaClass.simpleName)
     }
@@ -165,8 +174,8 @@
         context.close()
         when (current) {
             Reading.Idle -> return
-            is Reading.Head -> current.exchange.fail(AttemptFailure.Disconnected, detail)
-            is Reading.Skipped -> current.exchange.fail(AttemptFailure.Disconnected, detail)
+            is Reading.Head -> current.exchange.failed(AttemptFailure.Disconnected, detail)
+            is Reading.Skipped -> current.exchange.failed(AttemptFailure.Disconnected, detail)
             is Reading.Body -> current.receiver.truncated(detail)
         }
         onEnd(context.channel())
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
-import io.netty.channel.EventLoopGroup
 import io.netty.channel.pool.AbstractChannelPoolHandler
 import io.netty.channel.pool.AbstractChannelPoolMap
 import io.netty.channel.pool.FixedChannelPool
@@ -43,7 +42,7 @@
  * first, so that surplus connections become idle and are closed by the target.
  */
 internal class TargetConnections(
-    private val group: EventLoopGroup,
+    private val loop: IoLoop,
     private val limits: ConnectionLimits
 ) : Closeable {
     private val pools = object : AbstractChannelPoolMap<Address, FixedChannelPool>() {
@@ -63,7 +62,7 @@
                     send(exchange)
                 }
                 !exchange.connected(channel) -> pool.release(channel)
-                else -> RequestWriter(exchange).writeHead(channel)
+                else -> RequestWriter(exchange).write(channel)
             }
         }
     }
@@ -84,9 +83,9 @@
     private fun TargetExchange.failToConnect(cause: Throwable) {
         val detail = cause.message ?: cause.javaClass.simpleName
         if (cause is IllegalStateException) {
-            fail(AttemptFailure.NotSent, detail)
+            failed(AttemptFailure.NotSent, detail)
         } else {
-            fail(AttemptFailure.ConnectFailed, detail)
+            failed(AttemptFailure.ConnectFailed, detail)
         }
     }
 
@@ -103,7 +102,7 @@
     )
 
     private fun bootstrap(address: Address): Bootstrap = Bootstrap()
-        .group(group)
+        .group(loop.group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.toMillis().toInt())
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
@@ -1,15 +1,12 @@
 package org.wisteriahinge.adapters.backend
 
-import io.ktor.util.AttributeKey
 import io.netty.channel.Channel
-import java.util.concurrent.atomic.AtomicReference
-import kotlinx.coroutines.CompletableDeferred
+import io.netty.channel.EventLoop
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.model.Address
 
-/** Key under which a Ktor request carries its [TargetExchange] to the engine. */
-internal val TargetExchangeKey = AttributeKey<TargetExchange>("TargetExchange")
-
 /** Where an exchange holds its connection. */
 private sealed interface Hold {
     data object Waiting : Hold
@@ -17,39 +14,78 @@
     data object Ended : Hold
 }
 
-/** One request and its answer on one connection of a target. */
-internal class TargetExchange(val address: Address, val request: BackendRequest) {
-    private val hold = AtomicReference<Hold>(Hold.Waiting)
+/** One request and its answer on one connection of a target. Used on the I/O thread only. */
+internal class TargetExchange(
+    val address: Address,
+    val request: BackendRequest,
+    private val observer: AnswerObserver
+) : AnswerObserver {
+    private var hold: Hold = Hold.Waiting
+    private var timer: Future<*>? = null
 
-    /** Completed with the connection once the request's head was written to it. */
-    val written = CompletableDeferred<Channel>()
+    /** Whether the observer was told of an answer or a failure. */
+    private var isSettled = false
+    private var isAbandoned = false
 
-    /** Completed with the answer's head, or with an [AttemptFailedException]. */
-    val answer = CompletableDeferred<BackendAnswer>()
+    fun startTimer(loop: EventLoop) {
+        val limitMillis = request.remaining.toMillis()
+        timer = loop.schedule(::expire, limitMillis, TimeUnit.MILLISECONDS)
+    }
 
     /** Takes [channel] over; false when the exchange ended while it waited for a connection. */
-    fun connected(channel: Channel): Boolean =
-        hold.compareAndSet(Hold.Waiting, Hold.Connected(channel))
+    fun connected(channel: Channel): Boolean {
+        if (hold != Hold.Waiting) return false
+        hold = Hold.Connected(channel)
+        return true
+    }
+
+    override fun answered(answer: BackendAnswer) {
+        if (settle()) observer.answered(answer)
+    }
+
+    override fun failed(failure: AttemptFailure, detail: String) {
+        if (settle()) observer.failed(failure, detail)
+    }
+
+    override fun received(piece: ByteArray) {
+        if (!isAbandoned) observer.received(piece)
+    }
+
+    override fun completed() {
+        if (!isAbandoned) observer.completed()
+    }
+
+    override fun truncated(detail: String) {
+        if (!isAbandoned) observer.truncated(detail)
+    }
 
-    fun fail(failure: AttemptFailure, detail: String) {
-        answer.completeExceptionally(AttemptFailedException(failure, detail))
+    private fun settle(): Boolean {
+        if (isSettled) return false
+        isSettled = true
+        timer?.cancel(false)
+        return true
     }
 
     /** Time ran out: nothing was sent when the exchange still waits for a connection. */
-    fun expire() {
-        val notSent = hold.compareAndSet(Hold.Waiting, Hold.Ended)
-        val failure = if (notSent) AttemptFailure.NotSent else AttemptFailure.TimedOut
-        fail(failure, "no answer within ${request.remaining.toMillis()} ms")
+    private fun expire() {
+        val failure = if (hold == Hold.Waiting) AttemptFailure.NotSent else AttemptFailure.TimedOut
+        failed(failure, "no answer within ${request.remaining.toMillis()} ms")
+        abandon()
     }
 
     /** The answer was read to its end; the connection serves other exchanges. */
     fun detach() {
-        hold.set(Hold.Ended)
+        hold = Hold.Ended
     }
 
     /** Ends the exchange. A connection whose answer was not read to its end is closed. */
     fun abandon() {
-        when (val held = hold.getAndSet(Hold.Ended)) {
+        timer?.cancel(false)
+        isSettled = true
+        isAbandoned = true
+        val held = hold
+        hold = Hold.Ended
+        when (held) {
             Hold.Waiting, Hold.Ended -> Unit
             is Hold.Connected -> held.channel.close()
         }
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
@@ -0,0 +1,139 @@
+package org.wisteriahinge.adapters.caller
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import java.math.BigDecimal
+import java.time.Duration
+import org.wisteriahinge.adapters.backend.AnswerBody
+import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.adapters.backend.HeaderField
+import org.wisteriahinge.core.membership.RetainedAnswer
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.Refusal
+
+private const val MILLI_DIGITS = 3
+private const val MILLIS_PER_SECOND = 1_000L
+
+/**
+ * Writes the one final answer to a request. Used on the I/O thread only.
+ *
+ * [closes] says whether the caller's connection is to be closed after the answer.
+ */
+internal class AnswerWriter(
+    private val channel: Channel,
+    private val services: CallerServices,
+    private val closes: () -> Boolean
+) {
+    /** Whether the head of an answer was written. */
+    var isCommitted = false
+        private set
+
+    /** Whether the caller has room for more of the answer. */
+    val isWritable: Boolean get() = channel.isWritable
+
+    /** Writes [answer] with a body that is in memory; [done] learns whether it was written. */
+    fun writeWhole(answer: BackendAnswer, body: AnswerBody.Whole, done: (Boolean) -> Unit) {
+        val response = response(answer.status, body.bytes)
+        response.headers().fill(services.rules.delivered(answer.headers))
+        HttpUtil.setContentLength(response, body.bytes.size.toLong())
+        commit(response, done)
+    }
+
+    /** Writes [answer], which has no body. */
+    fun writeBodiless(answer: BackendAnswer, body: AnswerBody.Absent, done: (Boolean) -> Unit) {
+        val response = response(answer.status, ByteArray(0))
+        response.headers().fill(services.rules.delivered(answer.headers))
+        body.lengthBytes?.let { HttpUtil.setContentLength(response, it) }
+        commit(response, done)
+    }
+
+    /** Writes the head of [answer]; pieces of its body follow. */
+    fun writeHead(answer: BackendAnswer, lengthBytes: Long?) {
+        val response =
+            DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status))
+        response.headers().fill(services.rules.delivered(answer.headers))
+        if (lengthBytes == null) {
+            HttpUtil.setTransferEncodingChunked(response, true)
+        } else {
+            HttpUtil.setContentLength(response, lengthBytes)
+        }
+        response.headers().setConnection()
+        isCommitted = true
+        channel.write(response)
+    }
+
+    fun writePiece(piece: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(piece)))
+    }
+
+    fun writeEnd(done: (Boolean) -> Unit) {
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+            .addListener { done(it.isSuccess) }
+    }
+
+    /** Sends [refusal] as a problem document; aborts when part of an answer was sent before. */
+    fun refuse(refusal: Refusal, callId: CallId, done: (Boolean) -> Unit) {
+        if (isCommitted) return abort()
+        val json = ProblemDocument.of(refusal, callId.toString()).toJson().encodeToByteArray()
+        val response = response(refusal.reason.status, json)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.MEDIA_TYPE)
+        refusal.retryAfter?.let {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, secondsOf(it))
+        }
+        HttpUtil.setContentLength(response, json.size.toLong())
+        commit(response, done)
+    }
+
+    /** Answers a resend with the answer that was kept for the first copy. */
+    fun writeRetained(answer: RetainedAnswer, done: (Boolean) -> Unit) {
+        val body = answer.body.toByteArray()
+        val response = response(answer.status, body)
+        answer.contentType?.let { response.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
+        HttpUtil.setContentLength(response, body.size.toLong())
+        commit(response, done)
+    }
+
+    /** Closes the caller's connection, so that a partial answer is not taken for a whole one. */
+    fun abort() {
+        channel.close()
+    }
+
+    private fun response(status: Int, body: ByteArray) = DefaultFullHttpResponse(
+        HttpVersion.HTTP_1_1,
+        HttpResponseStatus.valueOf(status),
+        Unpooled.wrappedBuffer(body)
+    )
+
+    private fun HttpHeaders.fill(fields: List<HeaderField>) {
+        fields.forEach { add(it.name, it.value) }
+    }
+
+    private fun HttpHeaders.setConnection() {
+        if (closes()) set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private fun commit(response: DefaultFullHttpResponse, done: (Boolean) -> Unit) {
+        response.headers().setConnection()
+        isCommitted = true
+        channel.writeAndFlush(response)
+            .addListener(ChannelFutureListener { done(it.isSuccess) })
+    }
+
+    private fun secondsOf(delay: Duration): String =
+        if (services.dialect.fractionalRetryAfter) {
+            BigDecimal.valueOf(delay.toMillis(), MILLI_DIGITS).toPlainString()
+        } else {
+            delay.plusMillis(MILLIS_PER_SECOND - 1).toSeconds().coerceAtLeast(1).toString()
+        }
+}
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerConnection.kt
@@ -0,0 +1,193 @@
+package org.wisteriahinge.adapters.caller
+
+import com.github.michaelbull.result.mapBoth
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.adapters.backend.RequestBody
+import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RefusalReason
+
+private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofMillis(250)
+
+/** Parts of requests that may wait while the one before them is served. */
+private const val MAX_WAITING_PARTS = 16
+
+/** Serves the requests of one caller's connection, one after the other. */
+internal class CallerConnection(private val services: CallerServices) :
+    ChannelInboundHandlerAdapter() {
+    private var current: ServedRequest? = null
+    private var waiting: PersistentList<HttpObject> = persistentListOf()
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        when {
+            message !is HttpObject -> ReferenceCountUtil.release(message)
+            current?.isReceived == true -> postpone(context, message)
+            else -> take(context, message)
+        }
+    }
+
+    /** A caller that sends the next request early waits for the answer to the one before. */
+    private fun postpone(context: ChannelHandlerContext, message: HttpObject) {
+        waiting = waiting.add(message)
+        if (waiting.size >= MAX_WAITING_PARTS) context.channel().config().isAutoRead = false
+    }
+
+    private fun take(context: ChannelHandlerContext, message: HttpObject) {
+        try {
+            if (message is HttpRequest) {
+                current = ServedRequest(context, message).also { it.start() }
+            }
+            if (message is HttpContent) current?.receive(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun ended(context: ChannelHandlerContext, request: ServedRequest) {
+        if (current != request) return
+        current = null
+        while (waiting.isNotEmpty() && current?.isReceived != true) {
+            val next = waiting.first()
+            waiting = waiting.removeAt(0)
+            take(context, next)
+        }
+        if (waiting.isEmpty()) context.channel().config().isAutoRead = true
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (context.channel().isWritable) current?.callerWritable()
+        context.fireChannelWritabilityChanged()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        current?.callerGone()
+        waiting.forEach { ReferenceCountUtil.release(it) }
+        waiting = persistentListOf()
+        context.fireChannelInactive()
+    }
+
+    // A connection that a caller resets is no fault of the instance.
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    /** One request from its head to the end of its answer. */
+    private inner class ServedRequest(
+        private val context: ChannelHandlerContext,
+        private val request: HttpRequest
+    ) : BodyListener {
+        private val startedNanos = System.nanoTime()
+        private val callId = services.gateway.nextCallId()
+        private val keepAlive = HttpUtil.isKeepAlive(request)
+        private val writer = AnswerWriter(context.channel(), services, ::closes)
+        private var readHead: ReadHead? = null
+        private var call: CallRequest? = null
+        private var body: BodyReceiver? = null
+        private var exchange: CallExchange? = null
+        private var isAnswered = false
+
+        /** Whether the whole request was received. */
+        var isReceived = false
+            private set
+
+        // What is left of a body would be taken for the next request.
+        private fun closes(): Boolean = !keepAlive || services.gateway.isLeaving ||
+            (!isReceived && readHead?.head?.hasBody != false)
+
+        fun start() {
+            services.readHead(callId, request).mapBoth(
+                success = { head ->
+                    readHead = head
+                    if (HttpUtil.is100ContinueExpected(request)) writeContinue()
+                    body = BodyReceiver(context.channel(), services, head.head, this)
+                    body?.start()
+                },
+                failure = { refuse(it) }
+            )
+        }
+
+        private fun writeContinue() {
+            context.writeAndFlush(
+                DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE,
+                    Unpooled.EMPTY_BUFFER
+                )
+            )
+        }
+
+        fun receive(content: HttpContent) {
+            val receiver = body
+            if (!isAnswered) receiver?.receive(content.content())
+            if (content !is LastHttpContent) return
+            isReceived = true
+            if (!isAnswered) receiver?.end()
+            if (isAnswered) ended(context, this)
+        }
+
+        override fun ready(body: RequestBody) {
+            val forwarded = readHead?.withBody(body) ?: return
+            call = forwarded.request
+            val started = CallExchange(forwarded, services, writer, ::exchangeEnded)
+            exchange = started
+            when (started.start()) {
+                Entry.Accepted -> Unit
+                Entry.Full -> refuse(RefusalReason.InstanceOverloaded, RETRY_AFTER_NOT_TAKEN)
+                Entry.Draining -> refuse(RefusalReason.Draining, RETRY_AFTER_NOT_TAKEN)
+            }
+        }
+
+        override fun faulty(reason: RefusalReason) {
+            val running = exchange
+            if (running == null) refuse(reason) else running.bodyFault(reason)
+        }
+
+        private fun refuse(reason: RefusalReason, retryAfter: Duration? = null) {
+            services.countRefused(reason)
+            exchange = null
+            writer.refuse(Refusal(reason, Execution.NotRun, retryAfter), callId) { }
+            answered()
+        }
+
+        private fun exchangeEnded(how: ExchangeEnd) {
+            services.gateway.leave()
+            val targetTime = (how as? ExchangeEnd.Delivered)?.targetTime
+            val elapsed = Duration.ofNanos(System.nanoTime() - startedNanos)
+            call?.let {
+                services.observer.ended(EndedCall(it, how.describe(), elapsed, targetTime))
+            }
+            answered()
+        }
+
+        private fun answered() {
+            isAnswered = true
+            body?.cancel()
+            exchange = null
+            if (isReceived) ended(context, this)
+        }
+
+        fun callerWritable() {
+            exchange?.callerWritable()
+        }
+
+        fun callerGone() {
+            exchange?.callerGone()
+            body?.cancel()
+        }
+    }
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -1,31 +1,17 @@
 package org.wisteriahinge.adapters.caller
 
-import java.time.Clock
 import java.time.Duration
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.adapters.Nesting
 import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
-import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.BackendRequest
 import org.wisteriahinge.adapters.backend.HeaderField
 import org.wisteriahinge.adapters.backend.RequestBody
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.CallRequest
 
-/** What every exchange uses. */
-internal class ExchangeServices(
-    val gateway: CallGateway,
-    val backend: BackendClient,
-    val clock: Clock,
-    val stall: Duration,
-    val answerListener: AnswerListener?,
-    val dialect: WireDialect
-) {
-    val rules = HeaderRules(dialect)
-}
-
 /**
  * A caller's request with the parts that decisions do not need.
  *
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/FramingHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/FramingHandler.kt
@@ -24,7 +24,7 @@
 import org.wisteriahinge.core.model.RefusalReason
 
 /**
- * Refuses requests whose framing is invalid, before Ktor sees them.
+ * Refuses requests whose framing is invalid, before anything else sees them.
  *
  * [refused] is told the reason; [newCallId] names the refusal for the caller.
  */
@@ -43,7 +43,7 @@
                 ReferenceCountUtil.release(message)
                 context.refuse(reasonOf(message.decoderResult().cause()))
             }
-            message is HttpRequest && !message.headers().areUnambiguous() -> {
+            message is HttpRequest && message.isAmbiguous() -> {
                 ReferenceCountUtil.release(message)
                 context.refuse(RefusalReason.MalformedRequest)
             }
@@ -60,6 +60,10 @@
     }
 
     override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+        if (message is HttpResponse && message.status() == HttpResponseStatus.CONTINUE) {
+            context.write(message, promise)
+            return
+        }
         if (message is HttpResponse && !HttpUtil.isKeepAlive(message)) closeAfterAnswer = true
         if (message is LastHttpContent) {
             unanswered--
@@ -77,6 +81,13 @@
         }
     }
 
+    private fun HttpRequest.isAmbiguous(): Boolean =
+        !headers().areUnambiguous() || headers().any { it.isFolded() }
+
+    // A line that continues the header before it was joined to it by the decoder.
+    private fun Map.Entry<String, String>.isFolded(): Boolean =
+        value.any { it == '\n' || it == '\r' }
+
     private fun HttpHeaders.areUnambiguous(): Boolean {
         val codings = getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val isKnownCoding = codings.isEmpty() ||
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RequestHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RequestHead.kt
@@ -7,7 +7,7 @@
 import com.github.michaelbull.result.binding
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.toResultOr
-import io.ktor.http.Headers
+import io.netty.handler.codec.http.HttpHeaders
 import java.time.Duration
 import org.wisteriahinge.adapters.Nesting
 import org.wisteriahinge.adapters.WireDialect
@@ -40,7 +40,7 @@
 internal fun readHead(
     method: String,
     target: String,
-    headers: Headers,
+    headers: HttpHeaders,
     dialect: WireDialect
 ): Result<RequestHead, RefusalReason> = binding {
     checkTarget(target).bind()
@@ -56,13 +56,13 @@
     )
 }
 
-private fun Headers.depth(nesting: Nesting): Result<Int, RefusalReason> = when (nesting) {
+private fun HttpHeaders.depth(nesting: Nesting): Result<Int, RefusalReason> = when (nesting) {
     Nesting.Unannounced -> Ok(0)
     Nesting.Announced -> number(WireHeaders.DEPTH)
         .map { it?.coerceAtMost(Int.MAX_VALUE.toLong())?.toInt() ?: 0 }
 }
 
-private fun Headers.allowRetries(nesting: Nesting): Boolean = when (nesting) {
+private fun HttpHeaders.allowRetries(nesting: Nesting): Boolean = when (nesting) {
     Nesting.Unannounced -> true
     Nesting.Announced -> this[WireHeaders.NO_RETRY] == null
 }
@@ -80,22 +80,22 @@
 private val ENCODED_SEPARATOR = Regex("%(2f|5c|00)", RegexOption.IGNORE_CASE)
 private val DOT_SEGMENT = Regex("(\\.|%2e){1,2}", RegexOption.IGNORE_CASE)
 
-private fun Headers.number(name: String): Result<Long?, RefusalReason> {
-    val values = getAll(name) ?: return Ok(null)
+private fun HttpHeaders.number(name: String): Result<Long?, RefusalReason> {
+    val values = getAll(name).ifEmpty { return Ok(null) }
     return values.singleOrNull()
         ?.takeIf { it.length in 1..MAX_DIGITS && it.all { digit -> digit in '0'..'9' } }
         ?.toLong()
         .toResultOr { RefusalReason.MalformedRequest }
 }
 
-private fun Headers.key(nesting: Nesting): Result<IdempotencyKey?, RefusalReason> =
+private fun HttpHeaders.key(nesting: Nesting): Result<IdempotencyKey?, RefusalReason> =
     when (nesting) {
         Nesting.Unannounced -> Ok(null)
         Nesting.Announced -> ownKey()
     }
 
-private fun Headers.ownKey(): Result<IdempotencyKey?, RefusalReason> {
-    val values = getAll(WireHeaders.IDEMPOTENCY_KEY) ?: return Ok(null)
+private fun HttpHeaders.ownKey(): Result<IdempotencyKey?, RefusalReason> {
+    val values = getAll(WireHeaders.IDEMPOTENCY_KEY).ifEmpty { return Ok(null) }
     return values.singleOrNull()
         ?.takeIf { it.length == KEY_LENGTH && UuidValidator.isValid(it, KEY_VERSION) }
         ?.let { IdempotencyKey(it.lowercase()) }
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
@@ -0,0 +1,141 @@
+package org.wisteriahinge.adapters.caller
+
+import java.time.Duration
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+import org.wisteriahinge.adapters.backend.AnswerBody
+import org.wisteriahinge.adapters.backend.AnswerObserver
+import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.adapters.backend.BackendExchange
+import org.wisteriahinge.core.call.Attempt
+import org.wisteriahinge.core.call.AttemptFailure
+import org.wisteriahinge.core.model.LoadReport
+
+/** What an attempt reports to its call. */
+internal interface AttemptListener {
+    /** An answer arrived; [deliver] is to be called if it is passed on at once. */
+    fun answered(attempt: RunningAttempt, answer: BackendAnswer, load: LoadReport?)
+
+    fun failed(attempt: RunningAttempt, failure: AttemptFailure, load: LoadReport?)
+
+    /** The whole answer was written to the caller. */
+    fun delivered(attempt: RunningAttempt, answer: BackendAnswer)
+
+    /** The target's answer ended early after a part of it was passed on. */
+    fun truncated(attempt: RunningAttempt)
+}
+
+/** One attempt at a target and the delivery of its answer. Used on the I/O thread only. */
+internal class RunningAttempt(
+    val attempt: Attempt,
+    private val services: CallerServices,
+    private val writer: AnswerWriter,
+    private val capture: AnswerCapture,
+    private val listener: AttemptListener
+) : AnswerObserver {
+    private val sentNanos = System.nanoTime()
+    private var exchange: BackendExchange? = null
+    private var held: BackendAnswer? = null
+    private var streaming: AnswerBody.Streamed? = null
+    private var stallTimer: Future<*>? = null
+
+    /** Time from sending the request to the head of its answer; null before that. */
+    var targetTime: Duration? = null
+        private set
+
+    fun start(exchange: BackendExchange) {
+        this.exchange = exchange
+    }
+
+    override fun answered(answer: BackendAnswer) {
+        targetTime = Duration.ofNanos(System.nanoTime() - sentNanos)
+        val load = services.dialect.loadReport(answer, services.clock.instant())
+        when (val verdict = services.dialect.judge(answer)) {
+            is AnswerVerdict.Failed -> {
+                abandon()
+                listener.failed(this, verdict.failure, load)
+            }
+            AnswerVerdict.Usable -> {
+                held = answer
+                listener.answered(this, answer, load)
+            }
+        }
+    }
+
+    override fun failed(failure: AttemptFailure, detail: String) {
+        listener.failed(this, failure, null)
+    }
+
+    /** Passes the answer on to the caller. */
+    fun deliver() {
+        val answer = held ?: return
+        held = null
+        when (val body = answer.body) {
+            is AnswerBody.Absent -> writer.writeBodiless(answer, body) { delivered(answer) }
+            is AnswerBody.Whole -> {
+                capture.add(body.bytes)
+                writer.writeWhole(answer, body) { delivered(answer) }
+            }
+            is AnswerBody.Streamed -> {
+                held = answer
+                streaming = body
+                writer.writeHead(answer, body.lengthBytes)
+                awaitMore()
+                body.flow.open()
+            }
+        }
+    }
+
+    // A caller that is gone is reported by its connection.
+    private fun delivered(answer: BackendAnswer) {
+        capture.complete(answer, services.rules)
+        listener.delivered(this, answer)
+    }
+
+    override fun received(piece: ByteArray) {
+        awaitMore()
+        writer.writePiece(piece)
+        capture.add(piece)
+        if (!writer.isWritable) streaming?.flow?.close()
+    }
+
+    /** The caller has room again. */
+    fun callerWritable() {
+        streaming?.flow?.open()
+    }
+
+    override fun completed() {
+        stallTimer?.cancel(false)
+        streaming = null
+        val answer = held ?: return
+        writer.writeEnd { delivered(answer) }
+    }
+
+    override fun truncated(detail: String) {
+        stallTimer?.cancel(false)
+        streaming = null
+        listener.truncated(this)
+    }
+
+    private fun awaitMore() {
+        stallTimer?.cancel(false)
+        stallTimer = services.loop.executor.schedule(
+            ::stalled,
+            services.settings.answerStall.toMillis(),
+            TimeUnit.MILLISECONDS
+        )
+    }
+
+    private fun stalled() {
+        if (streaming == null) return
+        abandon()
+        truncated("no data for ${services.settings.answerStall.toMillis()} ms")
+    }
+
+    /** Ends the attempt; its connection is closed unless the answer was read to its end. */
+    fun abandon() {
+        stallTimer?.cancel(false)
+        streaming = null
+        exchange?.abandon()
+    }
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/InstanceMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/InstanceMetrics.kt
@@ -10,7 +10,10 @@
 private const val NANOS_PER_SECOND = 1e9
 
 /** Prometheus metrics of the process and of the time that it adds to calls. */
-public class InstanceMetrics(registry: PrometheusRegistry, callsInProgress: () -> Int) {
+public class InstanceMetrics(
+    private val registry: PrometheusRegistry,
+    callsInProgress: () -> Int
+) {
     // Upper bounds in seconds around the aim of 500 microseconds for 99 in 100 calls.
     private val added = Histogram.builder()
         .name("wisteriahinge_added_seconds")
@@ -26,6 +29,10 @@
             .help("Calls between their arrival and the end of their answer")
             .callback { it.call(callsInProgress().toDouble()) }
             .register(registry)
+    }
+
+    /** Adds the metrics of the JVM, which are costly to set up, so that a start need not wait. */
+    public fun addRuntime() {
         JvmMetrics.builder().register(registry)
     }
 
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/admin/AdminServerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/admin/AdminServerTest.kt
@@ -5,7 +5,9 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.wisteriahinge.adapters.backend.IoLoop
 import org.wisteriahinge.adapters.metrics.ConfigurationMetrics
 import org.wisteriahinge.core.configuration.ConfigurationStanding
 import org.wisteriahinge.core.configuration.ConfigurationStatus
@@ -19,6 +21,12 @@
 /** Guards against an instance that is taken out of service, or left in, for the wrong reason. */
 class AdminServerTest {
     private val client = HttpClient.newHttpClient()
+    private val loop = IoLoop()
+
+    @AfterEach
+    fun stop() {
+        loop.close()
+    }
 
     private fun get(port: Int, path: String): HttpResponse<String> = client.send(
         HttpRequest.newBuilder(URI("http://127.0.0.1:$port$path")).build(),
@@ -29,7 +37,7 @@
         val registry = PrometheusRegistry()
         val status = ConfigurationStatus(RevisionNumber(7), RevisionNumber(8), standing)
         ConfigurationMetrics(registry).report(status)
-        return AdminServer(AdminAddress("127.0.0.1", 0), FixedView(status), registry)
+        return AdminServer(AdminAddress("127.0.0.1", 0), FixedView(status), { registry }, loop)
             .use { use(it.start()) }
     }
 
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RefusalOnTheWireTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RefusalOnTheWireTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.MethodSource
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.core.call.CallCounter
+import org.wisteriahinge.core.model.CallerBounds
 import org.wisteriahinge.runtime.Ring
 import strikt.api.Assertion
 import strikt.api.expectThat
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
@@ -6,6 +6,7 @@
 import java.time.Duration
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.backend.IoLoop
 import org.wisteriahinge.adapters.backend.LoadProber
 import org.wisteriahinge.adapters.backend.ProbeReader
 import org.wisteriahinge.adapters.caller.AnswerListener
@@ -44,7 +45,7 @@
 internal class CallPath(
     settings: CallPathSettings,
     initial: CallsState,
-    registry: PrometheusRegistry,
+    private val registry: PrometheusRegistry,
     clock: Clock,
     private val others: EffectSink<CallEffect>,
     answers: (CallGateway) -> AnswerListener? = { null }
@@ -73,6 +74,15 @@
         )
     )
 
+    /** The registry with all metrics, once they are asked for. */
+    val metricsRegistry: PrometheusRegistry by lazy {
+        process.addRuntime()
+        registry
+    }
+
+    /** The thread that serves the path's connections. */
+    val loop: IoLoop get() = backend.loop
+
     /** Hands [event] over unless the ring is full; for events that are repeated. */
     fun offer(event: CallEvent): Offer = ring.offer(CallMessage(event))
 
@@ -110,7 +120,6 @@
 
     override fun close() {
         server.close()
-        prober.close()
         duty.stop(STOP_TIMEOUT)
         backend.close()
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/CommandLine.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CommandLine.kt
@@ -18,6 +18,7 @@
 import org.wisteriahinge.app.command.SettingsCommand
 import org.wisteriahinge.app.command.ShowCommand
 import org.wisteriahinge.app.command.VersionCommand
+import org.wisteriahinge.app.command.WarmUpCommand
 
 private const val PROGRAM = "wisteriahinge"
 
@@ -26,6 +27,7 @@
     private val commands: PersistentList<Command> = persistentListOf(
         RunCommand(context),
         FrontCommand(context),
+        WarmUpCommand(context),
         CheckCommand(context),
         PublishCommand(context),
         ShowCommand(context),
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -19,6 +19,7 @@
 import org.wisteriahinge.core.directory.DirectoryState
 import org.wisteriahinge.core.lifecycle.LifecycleAction
 import org.wisteriahinge.core.lifecycle.LifecycleEvent
+import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.retry.Hedging
@@ -39,6 +40,8 @@
 import org.wisteriahinge.platform.decodeConfiguration
 import org.wisteriahinge.platform.decodeTarget
 import org.wisteriahinge.platform.platformDialect
+import org.wisteriahinge.platform.rehearsalAnswer
+import org.wisteriahinge.platform.rehearsalHeaders
 import org.wisteriahinge.runtime.KeyedRecord
 import org.wisteriahinge.runtime.LifecycleDuty
 import org.wisteriahinge.runtime.TopicWatchDuty
@@ -63,6 +66,12 @@
 /** Before the end of the grace period by which the process must have ended by itself. */
 private val GRACE_MARGIN: Duration = Duration.ofMillis(400)
 
+/** Calls of the warm-up; more of them no longer shorten the first calls of callers. */
+private const val WARM_UP_CALLS = 120
+
+/** An instance that starts under load is more useful slow than absent. */
+private val WARM_UP_LIMIT: Duration = Duration.ofMillis(900)
+
 /** Part of the grace period in which new calls are still served. */
 private const val HANDOVER_SHARE = 0.45
 
@@ -86,7 +95,8 @@
 public class FrontInstance(private val settings: FrontSettings, private val clock: Clock) :
     Closeable {
     private val registry = PrometheusRegistry()
-    private val path = CallPath(pathSettings(), initialState(), registry, clock, ::perform)
+    private val path = 
+        CallPath(pathSettings(settings.callers), initialState(), registry, clock, ::perform)
     private val storeClient = BackendClient(ConnectionLimits(perTarget = 4))
     private val configurationWatch = TopicWatchDuty(
         "configuration",
@@ -119,16 +129,17 @@
     private val admin = AdminServer(
         AdminAddress(settings.ready.host, settings.ready.port, READY_PATH),
         view,
-        registry
+        { path.metricsRegistry },
+        path.loop
     )
 
     private fun handover(): Duration =
         Duration.ofMillis((settings.grace.toMillis() * HANDOVER_SHARE).toLong())
 
-    private fun pathSettings() = CallPathSettings(
+    private fun pathSettings(callers: Address) = CallPathSettings(
         CallerServerSettings(
-            host = settings.callers.host,
-            port = settings.callers.port,
+            host = callers.host,
+            port = callers.port,
             defaultTimeout = settings.defaultTimeout,
             maxTimeout = settings.maxTimeout,
             body = BodyLimits(BUFFERED_BODY_BYTES, settings.bodyMemoryBytes),
@@ -165,6 +176,15 @@
         surveys = SurveysState(SurveyPolicy.BeforeEach())
     )
 
+    /** Exercises the path of calls on loopback; see [WarmUp]. */
+    internal fun warmUp(calls: Int, limit: Duration) {
+        val loopback = Address("127.0.0.1", 0)
+        val dialect = WarmUpDialect(::rehearsalHeaders) { head, target ->
+            rehearsalAnswer(head, target.value)
+        }
+        WarmUp(pathSettings(loopback), initialState(), dialect, clock).run(calls, limit)
+    }
+
     private fun decodeOperatorRecord(record: KeyedRecord): Configuration? {
         val value = record.value
         if (record.key != PlatformTopics.CONFIGURATION_KEY || value == null) return null
@@ -257,6 +277,7 @@
         try {
             path.listen()
             admin.start()
+            warmUp(WARM_UP_CALLS, WARM_UP_LIMIT)
             lifecycle.announce(LifecycleEvent.Started)
         } catch (e: IOException) {
             close()
@@ -275,11 +296,11 @@
     }
 
     override fun close() {
+        admin.close()
         path.close()
         configurationWatch.stop(STOP_TIMEOUT)
         targetsWatch.stop(STOP_TIMEOUT)
         lifecycle.stop(STOP_TIMEOUT)
         storeClient.close()
-        admin.close()
     }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -100,7 +100,8 @@
     private val admin = AdminServer(
         AdminAddress(settings.process.adminHost, settings.process.adminPort),
         InstanceView(settings.zone, lifecycle, path, configuration),
-        registry
+        { path.metricsRegistry },
+        path.loop
     )
     private fun pathSettings() = CallPathSettings(
         CallerServerSettings(
@@ -239,6 +240,7 @@
     }
 
     override fun close() {
+        admin.close()
         path.close()
         limits?.close()
         once.close()
@@ -247,7 +249,6 @@
         logDuty.stop(STOP_TIMEOUT)
         lifecycle.stop(STOP_TIMEOUT)
         log.close()
-        admin.close()
     }
 }
 
--- /dev/null
+++ b/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
@@ -0,0 +1,141 @@
+package org.wisteriahinge.app
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.IOException
+import java.time.Clock
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.adapters.backend.BackendClient
+import org.wisteriahinge.adapters.backend.BackendRequest
+import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.backend.HeaderField
+import org.wisteriahinge.adapters.backend.RequestBody
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.model.Backend
+import org.wisteriahinge.core.model.CallBounds
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.Customers
+import org.wisteriahinge.core.model.Entitlements
+import org.wisteriahinge.core.model.ListedTargets
+import org.wisteriahinge.core.model.OperationId
+import org.wisteriahinge.core.model.Repeatability
+import org.wisteriahinge.core.model.RevisionNumber
+import org.wisteriahinge.core.model.Route
+import org.wisteriahinge.core.model.RouteTable
+import org.wisteriahinge.core.model.Service
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.Target
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.Zone
+
+private val logger = KotlinLogging.logger {}
+
+private const val HOST = "warm-up.invalid"
+private const val PATH = "/warm-up/"
+private const val BODY_BYTES = 4_096
+private val CALL_TIMEOUT: Duration = Duration.ofSeconds(2)
+
+/** What a target of the warm-up answers, in the dialect of the path that is exercised. */
+internal class WarmUpDialect(
+    val headers: (number: Int) -> List<HeaderField>,
+    val answerTo: (head: List<String>, target: TargetId) -> String
+)
+
+/**
+ * Sends calls through a path of its own to targets within the process.
+ *
+ * The classes of the path are then loaded and its code is compiled before the first caller
+ * arrives; without it, the first calls take several times longer on a small machine.
+ */
+internal class WarmUp(
+    private val settings: CallPathSettings,
+    private val initial: CallsState,
+    private val dialect: WarmUpDialect,
+    private val clock: Clock
+) {
+    /** Sends up to [calls] calls, for at most [limit]. A failure ends the warm-up and is logged. */
+    fun run(calls: Int, limit: Duration) {
+        val until = clock.instant() + limit
+        val targets = listOf("warm-up-1", "warm-up-2").map { name ->
+            val id = TargetId(name)
+            id to LoopbackTarget { head -> dialect.answerTo(head, id) }
+        }
+        val path = CallPath(settings, initial, PrometheusRegistry(), clock, { })
+        val client = BackendClient(ConnectionLimits(perTarget = 2))
+        try {
+            targets.forEach { (_, target) -> target.start() }
+            path.startDuty()
+            path.offerWaiting(CallEvent.Configured(configuration()))
+            path.offerWaiting(CallEvent.TargetsListed(listing(targets.map { it.first to it.second.address })))
+            val done = send(client, Address("127.0.0.1", path.listen()), calls, until)
+            logger.info { "warm-up made $done calls" }
+        } catch (e: IOException) {
+            logger.warn { "warm-up ended early: ${e.message}" }
+        } finally {
+            client.close()
+            path.close()
+            targets.forEach { (_, target) -> target.close() }
+        }
+    }
+
+    private fun send(client: BackendClient, path: Address, calls: Int, until: Instant): Int {
+        var done = 0
+        while (done < calls && clock.instant() < until) {
+            client.fetch(path, request(done))
+            done++
+        }
+        return done
+    }
+
+    private fun request(number: Int): BackendRequest {
+        val writes = number % 2 == 1
+        return BackendRequest(
+            method = if (writes) "POST" else "GET",
+            pathAndQuery = PATH + if (writes) "write/$number" else "read/$number",
+            headers = persistentListOf<HeaderField>().addAll(dialect.headers(number)),
+            body = if (writes) RequestBody.Whole(ByteArray(BODY_BYTES)) else RequestBody.None,
+            remaining = CALL_TIMEOUT,
+            host = HOST
+        )
+    }
+
+    private fun configuration() = Configuration(
+        RevisionNumber(1),
+        Customers(persistentHashMapOf()),
+        Entitlements(
+            persistentHashMapOf(SERVICE to Service(SERVICE, persistentListOf(), persistentListOf())),
+            persistentHashMapOf(),
+            RouteTable.of(
+                listOf(
+                    route("write", Repeatability.OncePerRequest),
+                    route("read", Repeatability.Repeatable)
+                )
+            )
+        )
+    )
+
+    private fun route(name: String, repeatability: Repeatability) = Route(
+        id = OperationId(name),
+        host = HOST,
+        pathPrefix = "$PATH$name/",
+        backends = persistentListOf(Backend(SERVICE, 1)),
+        repeatability = repeatability,
+        bounds = CallBounds(maxTargets = 2, timeout = CALL_TIMEOUT)
+    )
+
+    private fun listing(targets: List<Pair<TargetId, Address>>): ListedTargets {
+        val listed = targets.map { (id, address) -> Target(id, Zone("warm-up"), address, slots = 3) }
+        return ListedTargets(
+            persistentHashMapOf(SERVICE to persistentListOf<Target>().addAll(listed))
+        )
+    }
+
+    private companion object {
+        val SERVICE = ServiceId("warm-up")
+    }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -118,7 +118,7 @@
     cause: RetryCause,
     now: Instant
 ): Boolean = call.attempts.size > 1 ||
-    when (retryVerdict(call, cause, now)) {
+    when (verdictIfEnded(call, cause, now)) {
         is RetryVerdict.Allowed -> true
         is RetryVerdict.Denied -> false
     }
@@ -155,8 +155,7 @@
     return withCall(
         call.copy(
             request = call.request.copy(replayable = event.replayable),
-            mayHaveRun = mayHaveRun,
-            arrivals = call.arrivals + if (event.failure.isArrival()) 1 else 0
+            mayHaveRun = mayHaveRun
         )
     )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -29,8 +29,15 @@
     else -> false
 }
 
-/** Whether [call] may get a further attempt after [cause]. Spends nothing. */
-internal fun CallsState.retryVerdict(
+/** Whether [call] may get a further attempt if one ends with [cause]. Spends nothing. */
+internal fun CallsState.verdictIfEnded(
+    call: CallInProgress,
+    cause: RetryCause,
+    now: Instant
+): RetryVerdict = retryVerdict(call.after(cause), cause, now)
+
+/** Whether [call], in which the attempt that ended with [cause] is counted, may get another. */
+private fun CallsState.retryVerdict(
     call: CallInProgress,
     cause: RetryCause,
     now: Instant
@@ -122,7 +129,7 @@
 internal fun CallsState.considerRetry(context: AttemptContext): CallsDecision {
     val call = calls[context.callId] ?: return CallsDecision(this)
     val cause = context.cause ?: RetryCause.Failure(AttemptFailure.Disconnected)
-    val noted = if (cause.isNotRun()) call else call.copy(mayHaveRun = true)
+    val noted = call.after(cause)
     if (call.attempts.isNotEmpty()) return CallsDecision(withCall(noted))
     return when (val verdict = retryVerdict(noted, cause, context.now)) {
         is RetryVerdict.Allowed -> withCall(noted).retry(noted, verdict, context.now)
@@ -134,6 +141,17 @@
     }
 }
 
+/** The call once the attempt that ended with [cause] is counted. */
+private fun CallInProgress.after(cause: RetryCause): CallInProgress = copy(
+    mayHaveRun = mayHaveRun || !cause.isNotRun(),
+    arrivals = arrivals + if (cause.isArrival()) 1 else 0
+)
+
+private fun RetryCause.isArrival(): Boolean = when (this) {
+    is RetryCause.Failure -> failure.isArrival()
+    RetryCause.ErrorAnswer -> true
+}
+
 private fun CallsState.retry(
     call: CallInProgress,
     verdict: RetryVerdict.Allowed,
--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -74,6 +74,13 @@
     val news: PersistentList<WatchNews<R>>
 )
 
+/** What was last told of the connection to the topic. */
+public sealed interface WatchLink {
+    public data object Unknown : WatchLink
+    public data object Up : WatchLink
+    public data object Down : WatchLink
+}
+
 /** How far a topic was read, and when it is read next. */
 public data class WatchState(
     val pace: WatchPace,
@@ -81,6 +88,7 @@
     val phase: WatchPhase = watchChart.initial,
     val nextOffset: Long = 0,
     val failures: Int = 0,
+    val link: WatchLink = WatchLink.Unknown,
     val nextReadAt: Instant = Instant.EPOCH
 ) {
     /** The read that is due at [nextReadAt]. */
@@ -117,14 +125,21 @@
     ): WatchDecision<R> = when (action) {
         WatchAction.PublishNewest -> tell(WatchNews.Newest(event.records()))
         WatchAction.PublishChanges -> tell(WatchNews.Changes(event.records()))
-        WatchAction.AnnounceLost -> tell(WatchNews.Lost)
-        WatchAction.AnnounceRegained -> tell(WatchNews.Regained)
+        WatchAction.AnnounceLost -> linked(WatchLink.Down, WatchNews.Lost)
+        WatchAction.AnnounceRegained -> linked(WatchLink.Up, WatchNews.Regained)
         WatchAction.BackOff ->
             copy(state = state.copy(nextReadAt = maxOf(state.nextReadAt, now + state.backOff())))
     }
 
     private fun <R> WatchDecision<R>.tell(more: WatchNews<R>) = copy(news = news.add(more))
 
+    /** Tells [change] unless it was told before. */
+    private fun <R> WatchDecision<R>.linked(
+        link: WatchLink,
+        change: WatchNews<R>
+    ): WatchDecision<R> =
+        if (state.link == link) this else copy(state = state.copy(link = link)).tell(change)
+
     /** Between half and the whole of the delay, so that instances do not return all at once. */
     private fun backOff(): Duration {
         val doublings = (failures - 1).coerceIn(0, MAX_DOUBLINGS)
