Read the store through relays, and test the new decisions

Change: the instances that the platform names as seeds read the store and serve it to the others, who return to the store when none of them answers.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -14,9 +14,11 @@
 private val REPORT_MARGIN: Duration = Duration.ofSeconds(2)
 
 /** Sends requests to targets and to services of the platform. */
-public class BackendClient(limits: ConnectionLimits) : Closeable {
+public class BackendClient(
+    limits: ConnectionLimits,
     /** The thread that serves the connections. */
     public val loop: IoLoop = IoLoop()
+) : Closeable {
     private val connections = TargetConnections(loop, limits)
 
     /** Sends [request] to the server at [address]; [observer] sees what becomes of it. */
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
@@ -37,6 +37,7 @@
     private var exchange: BackendExchange? = null
     private var held: BackendAnswer? = null
     private var streaming: AnswerBody.Streamed? = null
+    private var isDelivering = false
     private var stallTimer: Future<*>? = null
 
     /** Time from sending the request to the head of its answer; null before that. */
@@ -66,10 +67,11 @@
         listener.failed(this, failure, null)
     }
 
-    /** Passes the answer on to the caller. */
+    /** Passes the answer on to the caller; a repeated call changes nothing. */
     fun deliver() {
         val answer = held ?: return
-        held = null
+        if (isDelivering) return
+        isDelivering = true
         when (val body = answer.body) {
             is AnswerBody.Absent -> writer.writeBodiless(answer, body) { delivered(answer) }
             is AnswerBody.Whole -> {
@@ -77,7 +79,6 @@
                 writer.writeWhole(answer, body) { delivered(answer) }
             }
             is AnswerBody.Streamed -> {
-                held = answer
                 streaming = body
                 writer.writeHead(answer, body.lengthBytes)
                 awaitMore()
--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayTopic.kt
@@ -0,0 +1,54 @@
+package org.wisteriahinge.adapters.relay
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.time.Duration
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.serialization.SerializationException
+import org.wisteriahinge.adapters.backend.AttemptFailedException
+import org.wisteriahinge.adapters.backend.BackendClient
+import org.wisteriahinge.adapters.backend.BackendRequest
+import org.wisteriahinge.adapters.backend.RequestBody
+import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.runtime.KeyedTopic
+import org.wisteriahinge.runtime.TopicFailure
+import org.wisteriahinge.runtime.TopicRecords
+
+/** Time for an answer beyond the time that the relay is asked to wait. */
+private val ANSWER_TIME: Duration = Duration.ofMillis(400)
+
+private const val OK = 200
+private const val GONE = 410
+
+/** Reads [topic] at the instance at [address], which reads it for others. */
+public class RelayTopic(
+    private val topic: String,
+    private val address: Address,
+    private val client: BackendClient
+) : KeyedTopic {
+    override fun newest(): Result<TopicRecords, TopicFailure> = get(newestPath(topic), Duration.ZERO)
+
+    override fun changes(from: Long, waitUpTo: Duration): Result<TopicRecords, TopicFailure> =
+        get("${changesPath(topic)}?from=$from&wait_ms=${waitUpTo.toMillis()}", waitUpTo)
+
+    private fun get(path: String, wait: Duration): Result<TopicRecords, TopicFailure> = try {
+        val request = BackendRequest(
+            method = "GET",
+            pathAndQuery = path,
+            headers = persistentListOf(),
+            body = RequestBody.None,
+            remaining = wait + ANSWER_TIME
+        )
+        val answer = client.fetch(address, request)
+        when (answer.head.status) {
+            OK -> Ok(decodePage(answer.body))
+            GONE -> Err(TopicFailure.Expired(0))
+            else -> Err(TopicFailure.Unavailable("relay $address: ${answer.head.status}"))
+        }
+    } catch (e: AttemptFailedException) {
+        Err(TopicFailure.Unavailable("relay $address: ${e.message}"))
+    } catch (e: SerializationException) {
+        Err(TopicFailure.Unavailable("relay $address: ${e.message}"))
+    }
+}
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -36,7 +36,6 @@
 import org.wisteriahinge.platform.HealthReader
 import org.wisteriahinge.platform.PlatformTopics
 import org.wisteriahinge.platform.READY_PATH
-import org.wisteriahinge.platform.StoreTopic
 import org.wisteriahinge.platform.decodeConfiguration
 import org.wisteriahinge.platform.decodeTarget
 import org.wisteriahinge.platform.platformDialect
@@ -97,10 +96,11 @@
     private val registry = PrometheusRegistry()
     private val path = 
         CallPath(pathSettings(settings.callers), initialState(), registry, clock, ::perform)
-    private val storeClient = BackendClient(ConnectionLimits(perTarget = 4))
+    private val storeClient = BackendClient(ConnectionLimits(perTarget = 4), path.loop)
+    private val sources = sources()
     private val configurationWatch = TopicWatchDuty(
         "configuration",
-        StoreTopic(PlatformTopics.OPERATOR, { settings.store }, storeClient),
+        sources.configuration,
         CONFIGURATION_PACE,
         settings.seed,
         clock,
@@ -109,7 +109,7 @@
     )
     private val targetsWatch = TopicWatchDuty(
         "targets",
-        StoreTopic(PlatformTopics.TARGETS, { settings.store }, storeClient),
+        sources.targets,
         TARGETS_PACE,
         settings.seed + 1,
         clock,
@@ -133,6 +133,15 @@
         path.loop
     )
 
+    private fun sources(): PlatformSources {
+        val own = settings.relay?.takeIf { it in settings.relays }
+        return if (own == null) {
+            PlatformSources.Following(settings, storeClient, clock)
+        } else {
+            PlatformSources.Relaying(own, storeClient, settings.store, path.loop)
+        }
+    }
+
     private fun handover(): Duration =
         Duration.ofMillis((settings.grace.toMillis() * HANDOVER_SHARE).toLong())
 
@@ -277,6 +286,7 @@
         try {
             path.listen()
             admin.start()
+            sources.start()
             warmUp(WARM_UP_CALLS, WARM_UP_LIMIT)
             lifecycle.announce(LifecycleEvent.Started)
         } catch (e: IOException) {
@@ -297,10 +307,10 @@
 
     override fun close() {
         admin.close()
+        sources.close()
         path.close()
         configurationWatch.stop(STOP_TIMEOUT)
         targetsWatch.stop(STOP_TIMEOUT)
         lifecycle.stop(STOP_TIMEOUT)
-        storeClient.close()
     }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
@@ -2,6 +2,7 @@
 
 import java.time.Duration
 import kotlinx.cli.ExperimentalCli
+import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.app.ExitCode
 import org.wisteriahinge.app.FrontInstance
 import org.wisteriahinge.app.FrontSettings
@@ -10,7 +11,7 @@
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.runtime.SteadyClock
 
-private val CALLS = System.getenv("WARM_CALLS")?.toInt() ?: 300
+private const val CALLS = 300
 private val LIMIT: Duration = Duration.ofSeconds(20)
 
 /** Nothing listens there; the instance of the warm-up then reads no configuration. */
@@ -35,6 +36,8 @@
         callers = ANY_PORT,
         ready = ANY_PORT,
         store = NO_STORE,
+        relays = persistentListOf(NO_STORE),
+        relay = null,
         grace = Duration.ofSeconds(1),
         retryRatio = 0.0,
         retryWindow = Duration.ofSeconds(10),
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.app.settings
 
 import java.time.Duration
+import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.app.FrontSettings
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Zone
@@ -9,9 +10,12 @@
 internal fun SettingValues.toFrontSettings(seed: Long): FrontSettings = FrontSettings(
     name = get(Settings.instanceName),
     zone = Zone(get(Settings.zone)),
-    callers = address(Settings.callerAddress),
-    ready = address(Settings.readyAddress),
-    store = address(Settings.storeAddress),
+    callers = address(get(Settings.callerAddress)),
+    ready = address(get(Settings.readyAddress)),
+    store = address(get(Settings.storeAddress)),
+    relays = get(Settings.relays).split(',').filter { it.isNotEmpty() }.map(::address)
+        .toPersistentList(),
+    relay = get(Settings.relayAddress).takeIf { it.isNotEmpty() }?.let(::address),
     grace = seconds(Settings.graceSeconds),
     retryRatio = get(Settings.retryRatio).toDouble(),
     retryWindow = seconds(Settings.retryWindowSeconds),
@@ -21,5 +25,5 @@
     seed = seed
 )
 
-private fun SettingValues.address(spec: SettingSpec): Address =
-    Address(get(spec).substringBeforeLast(':'), get(spec).substringAfterLast(':').toInt())
+private fun address(text: String): Address =
+    Address(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingKind.kt
@@ -14,6 +14,9 @@
     /** A host with a port. */
     data object Address : SettingKind("an address such as 10.0.0.1:8080")
 
+    /** Hosts with ports, separated by commas. */
+    data object Addresses : SettingKind("addresses such as 10.0.0.1:8080,10.0.0.2:8080")
+
     /** A number of [unit] from [min] to [max]. */
     data class Decimal(val unit: String, val min: Double, val max: Double) :
         SettingKind("a number of $unit from $min to $max")
@@ -36,6 +39,7 @@
         Word -> text.length in 1..MAX_WORD_LENGTH && text.none { it.isWhitespace() }
         Host -> HOST.matches(text)
         Address -> ADDRESS.matches(text)
+        Addresses -> text.split(',').all { ADDRESS.matches(it) }
         is Decimal -> text.toDoubleOrNull()?.let { it in min..max } == true
         Url -> isServiceUrl(text)
         Port -> text.toIntOrNull()?.let { it in 0..MAX_PORT } == true
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -142,6 +142,18 @@
     )
     val storeAddress =
         SettingSpec("store-address", SettingKind.Address, null, "Address of the platform's store")
+    val relayAddress = SettingSpec(
+        "relay-address",
+        SettingKind.Address,
+        "",
+        "Address at which this instance serves what it reads at the store, if it is in relays"
+    )
+    val relays = SettingSpec(
+        "relays",
+        SettingKind.Addresses,
+        "",
+        "Addresses of the instances that read the store for the others; empty for none"
+    )
     val graceSeconds = SettingSpec(
         "grace-time-s",
         SettingKind.Decimal("s", 0.5, 3_600.0),
@@ -195,6 +207,8 @@
         callerAddress,
         readyAddress,
         storeAddress,
+        relayAddress,
+        relays,
         graceSeconds,
         retryRatio,
         retryWindowSeconds,
--- /dev/null
+++ b/core/src/test/kotlin/org/wisteriahinge/core/directory/DirectoryStateTest.kt
@@ -0,0 +1,122 @@
+package org.wisteriahinge.core.directory
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Test
+import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.watch.WatchNews
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** Guards against targets that get work after they left, and against a list lost in an outage. */
+class DirectoryStateTest {
+    private val start = Instant.parse("2026-01-01T00:00:00Z")
+    private val service = ServiceId("lookup")
+
+    private fun listed(
+        name: String,
+        offset: Long,
+        standing: TargetStanding = TargetStanding.Ready,
+        port: Int = 80,
+        coldFor: Duration = Duration.ZERO
+    ) = DirectoryRecord.Listed(
+        TargetId(name),
+        offset,
+        TargetEntry(service, Zone("a"), Address("10.0.0.1", port), 3, standing, coldFor)
+    )
+
+    private fun removed(name: String, offset: Long) =
+        DirectoryRecord.Removed(TargetId(name), offset)
+
+    private fun changes(vararg records: DirectoryRecord) =
+        WatchNews.Changes(records.toList().toPersistentList())
+
+    private fun newest(vararg records: DirectoryRecord) =
+        WatchNews.Newest(records.toList().toPersistentList())
+
+    private fun DirectoryState.names(): List<String> =
+        listing().byService[service].orEmpty().map { it.id.value }
+
+    /** Two targets, read long enough ago that removals count. */
+    private fun settled(): DirectoryState = DirectoryState()
+        .decide(WatchNews.Regained, start)
+        .decide(newest(listed("t-1", 1, port = 81), listed("t-2", 2, port = 82)), start)
+
+    private val later = start.plusSeconds(10)
+
+    @Test
+    fun `a draining target gets no new work`() {
+        val state = settled().decide(changes(listed("t-1", 3, TargetStanding.Draining, 81)), later)
+        expectThat(state.names()).isEqualTo(listOf("t-2"))
+    }
+
+    @Test
+    fun `a removed target gets no new work`() {
+        expectThat(settled().decide(changes(removed("t-1", 3)), later).names())
+            .isEqualTo(listOf("t-2"))
+    }
+
+    @Test
+    fun `an older word never replaces a newer one`() {
+        val drained =
+            settled().decide(changes(listed("t-1", 5, TargetStanding.Draining, 81)), later)
+        expectThat(drained.decide(newest(listed("t-1", 4, port = 81), listed("t-2", 2)), later).names())
+            .isEqualTo(listOf("t-2"))
+    }
+
+    @Test
+    fun `a target that starts again under its id gets work`() {
+        val gone = settled().decide(changes(removed("t-1", 3)), later)
+        expectThat(gone.decide(changes(listed("t-1", 4, port = 81)), later).names())
+            .isEqualTo(listOf("t-1", "t-2"))
+    }
+
+    @Test
+    fun `entries that lapsed while the registry was away stay until targets could return`() {
+        val back = settled()
+            .decide(WatchNews.Lost, later)
+            .decide(WatchNews.Regained, later.plusSeconds(5))
+        val read = later.plusSeconds(5)
+        val lapsed = back.decide(changes(removed("t-1", 3), removed("t-2", 4)), read)
+        expectThat(lapsed.names()).isEqualTo(listOf("t-1", "t-2"))
+        val returned = lapsed.decide(changes(listed("t-2", 5, port = 82)), read.plusSeconds(1))
+        expectThat(returned.decide(changes(), read.plusSeconds(3)).names())
+            .isEqualTo(listOf("t-2"))
+    }
+
+    @Test
+    fun `the list stays while the registry is away`() {
+        expectThat(settled().decide(WatchNews.Lost, later).names())
+            .isEqualTo(listOf("t-1", "t-2"))
+    }
+
+    @Test
+    fun `an entry without a target to use removes none but its own`() {
+        val broken = DirectoryRecord.Unusable(TargetId("t-1"), 3, "no address")
+        expectThat(settled().decide(changes(broken), later).names()).isEqualTo(listOf("t-2"))
+    }
+
+    @Test
+    fun `an address that was given to a newer target is not used for the older one`() {
+        val reused = settled().decide(changes(listed("t-3", 9, port = 81)), later)
+        expectThat(reused.names()).isEqualTo(listOf("t-2", "t-3"))
+    }
+
+    @Test
+    fun `a cold target keeps the end of its start over repeated entries`() {
+        val cold = listed("t-1", 3, port = 81, coldFor = Duration.ofSeconds(3))
+        val again = listed("t-1", 4, port = 81, coldFor = Duration.ofMillis(1_480))
+        val state = settled().decide(changes(cold), later)
+            .decide(changes(again), later.plusMillis(1_500))
+        expectThat(state.known[TargetId("t-1")]).isNotNull()
+            .get { coldUntil }.isEqualTo(later.plusSeconds(3))
+        val warm = state.decide(changes(listed("t-1", 5, port = 81)), later.plusSeconds(4))
+        expectThat(warm.known[TargetId("t-1")]).isNotNull().get { coldUntil }.isNull()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/wisteriahinge/core/watch/WatchStateTest.kt
@@ -0,0 +1,80 @@
+package org.wisteriahinge.core.watch
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.persistentListOf
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+
+/** Guards against a topic that is read too often, from the wrong place, or not at all any more. */
+class WatchStateTest {
+    private val start = Instant.parse("2026-01-01T00:00:00Z")
+    private val pace = WatchPace(Duration.ofMillis(900), Duration.ZERO)
+    private val fresh = WatchState(pace, seed = 1)
+
+    private fun newest(at: Instant) = WatchEvent.NewestRead(at, persistentListOf("a"), 7)
+    private fun changes(at: Instant) = WatchEvent.ChangesRead(at, persistentListOf("b"), 9)
+
+    @Test
+    fun `a topic is read from its newest records and then followed`() {
+        val first = fresh.decide(newest(start), start)
+        expectThat(first.news).containsExactly(
+            WatchNews.Regained,
+            WatchNews.Newest(persistentListOf("a"))
+        )
+        expectThat(first.state.nextRead).isEqualTo(WatchRead.Changes(7))
+        val second = first.state.decide(changes(start), start)
+        expectThat(second.news).containsExactly(WatchNews.Changes(persistentListOf("b")))
+        expectThat(second.state.nextRead).isEqualTo(WatchRead.Changes(9))
+    }
+
+    @Test
+    fun `reads keep their distance`() {
+        val state = fresh.decide(newest(start), start.plusMillis(300)).state
+        expectThat(state.nextReadAt).isEqualTo(start.plusMillis(900))
+    }
+
+    @Test
+    fun `expired records are replaced by the newest`() {
+        val following = fresh.decide(newest(start), start).state
+        val expired = following.decide<String>(WatchEvent.Expired(start), start)
+        expectThat(expired.state.nextRead).isEqualTo(WatchRead.Newest)
+        expectThat(expired.news).isEmpty()
+    }
+
+    @Test
+    fun `an outage is told once and the offset is kept`() {
+        val following = fresh.decide(newest(start), start).state
+        val lost = following.decide<String>(WatchEvent.Failed(start), start)
+        val still = lost.state.decide<String>(WatchEvent.Failed(start), start)
+        expectThat(lost.news).containsExactly(WatchNews.Lost)
+        expectThat(still.news).isEmpty()
+        expectThat(still.state.nextRead).isEqualTo(WatchRead.Changes(7))
+        expectThat(still.state.decide(changes(start), start).news)
+            .containsExactly(WatchNews.Regained, WatchNews.Changes(persistentListOf("b")))
+    }
+
+    @Test
+    fun `failures back off up to a bound`() {
+        val quick = WatchState(WatchPace(Duration.ZERO, Duration.ZERO), seed = 1)
+        val failed = generateSequence(quick) {
+            it.decide<String>(WatchEvent.Failed(start), start).state
+        }.take(12).toList()
+        expectThat(failed[1].nextReadAt).isGreaterThan(start)
+        expectThat(failed.last().nextReadAt).isLessThanOrEqualTo(start + pace.lastBackOff)
+    }
+
+    @Test
+    fun `a relay that failed is left alone and another one follows`() {
+        val choice = RelayChoice(relays = 3, current = 2)
+        val failed = choice.relayFailed(start)
+        expectThat(failed.source(start.plusSeconds(1))).isEqualTo(TopicSource.Origin)
+        expectThat(failed.source(start.plusSeconds(4))).isEqualTo(TopicSource.Relay(0))
+        expectThat(RelayChoice(relays = 0, current = 0).source(start)).isEqualTo(TopicSource.Origin)
+    }
+}
