Write an answer before its connection is closed as idle

Cause: at the end of the handover after SIGTERM, idle connections are closed, and a connection counted as idle when the last part of its answer was handed to the pipeline, before it was written. Change: the idle phase begins when the write has completed; a watch of a closed client no longer retries in a loop. Test: closing idle connections cuts off no answer (fails without the change).

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -28,10 +28,11 @@
         observer: AnswerObserver
     ): BackendExchange {
         val exchange = TargetExchange(address, request, observer)
-        loop.run {
+        val started = loop.run {
             exchange.startTimer(loop.executor)
             connections.send(exchange)
         }
+        if (!started) exchange.failed(AttemptFailure.NotSent, "the client is closed")
         return BackendExchange { loop.run(exchange::abandon) }
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/IoLoop.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/IoLoop.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.util.concurrent.DefaultThreadFactory
 import java.io.Closeable
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 
 /**
@@ -21,9 +22,18 @@
 
     internal val executor: EventLoop = group.next()
 
-    /** Runs [task] on the thread, at once when this is the thread. */
-    internal fun run(task: () -> Unit) {
-        if (executor.inEventLoop()) task() else executor.execute(task)
+    /** Runs [task] on the thread, at once when this is the thread; false when it has ended. */
+    internal fun run(task: () -> Unit): Boolean {
+        if (executor.inEventLoop()) {
+            task()
+            return true
+        }
+        return try {
+            executor.execute(task)
+            true
+        } catch (_: RejectedExecutionException) {
+            false
+        }
     }
 
     override fun close() {
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/FramingHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/FramingHandler.kt
@@ -68,7 +68,8 @@
         if (message is LastHttpContent) {
             unanswered--
             if (closeAfterAnswer) promise.addListener(ChannelFutureListener.CLOSE)
-            if (unanswered == 0) pace.awaitRequest()
+            // Only once it was written, because an idle connection may be closed at once.
+            promise.addListener { if (unanswered == 0) pace.awaitRequest() }
         }
         context.write(message, promise)
     }
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
@@ -73,6 +73,9 @@
 
     fun caller() = RawCaller(port)
 
+    /** Closes idle connections, as at the end of a graceful stop. */
+    fun closeIdle() = server.closeIdle()
+
     /** Sends one request on a connection of its own and returns the answer. */
     fun exchange(text: String): RawMessage? = caller().use { it.send(text).receive() }
 
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/WholeAnswerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/WholeAnswerTest.kt
@@ -68,6 +68,26 @@
         }
     }
 
+    @Test
+    fun `closing idle connections cuts off no answer`() {
+        val slow = RawTarget {
+            Thread.sleep(150)
+            answer("whole")
+        }
+        CallerFixture(listOf(slow)).use { fixture ->
+            fixture.caller().use { idle ->
+                fixture.caller().use { busy ->
+                    busy.send(get())
+                    Thread.sleep(50)
+                    fixture.closeIdle()
+                    expectThat(idle.isClosedByServer()).isTrue()
+                    expectThat(busy.receive()).isNotNull().get { text }.isEqualTo("whole")
+                    expectThat(busy.isClosedByServer()).isTrue()
+                }
+            }
+        }
+    }
+
     @Test
     fun `a long answer that ends early aborts the caller's connection`() {
         val declared = RawTarget {
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -306,11 +306,11 @@
     }
 
     override fun close() {
+        configurationWatch.stop(STOP_TIMEOUT)
+        targetsWatch.stop(STOP_TIMEOUT)
         admin.close()
         sources.close()
         path.close()
-        configurationWatch.stop(STOP_TIMEOUT)
-        targetsWatch.stop(STOP_TIMEOUT)
         lifecycle.stop(STOP_TIMEOUT)
     }
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimConfiguration.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimConfiguration.kt
@@ -95,7 +95,7 @@
     method = "GET",
     path = "/${request.kind.name}/${request.id}",
     idempotencyKey = when (request.kind.repeatability) {
-        Repeatability.Repeatable -> null
+        Repeatability.Repeatable, Repeatability.OncePerRequest -> null
         Repeatability.AtMostOnce -> IdempotencyKey("key-${request.id}")
     },
     digest = RequestDigest("digest-${request.origin}"),
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInPlatformTarget.kt
@@ -0,0 +1,100 @@
+package org.wisteriahinge.bench.standin
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.call
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.request.receive
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import java.io.Closeable
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+
+private const val REQUEST_ID = "Wisteriahinge-Request-Id"
+private const val SLOTS = 3
+
+/** A backend server as on the users' platform, registered under [id]. */
+public class StandInPlatformTarget(public val id: String) : Closeable {
+    private val running = AtomicInteger()
+    private val behaviour = AtomicReference(TargetBehaviour())
+    private val ran = ConcurrentLinkedQueue<String>()
+    private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
+        routing {
+            get("/health") { health(call) }
+            route("{...}") { handle { serve(call) } }
+        }
+    }
+
+    /** The ids of the requests that it ran, in order. */
+    public val ranIds: List<String> get() = ran.toList()
+
+    /** Starts listening and returns the port. */
+    public fun start(): Int {
+        server.start(wait = false)
+        return runBlocking { server.engine.resolvedConnectors().first().port }
+    }
+
+    /** Replaces the behaviour for requests that arrive from now on. */
+    public fun behave(next: TargetBehaviour) {
+        behaviour.set(next)
+    }
+
+    /** The entry with which it registers itself for [service] in [zone]. */
+    public fun entry(service: String, zone: String, port: Int, state: String = "ready"): String =
+        """{"address":"127.0.0.1:$port","info":{"service":"$service","version":"v1",""" +
+            """"zone":"$zone","slots":$SLOTS},"status":{"state":"$state","seq":1,""" +
+            """"warmupLeftMs":0}}"""
+
+    private fun ApplicationCall.tell() {
+        response.header("Wisteriahinge-Server-Load", "${running.get()},0,$SLOTS,100")
+        response.header("Wisteriahinge-Instance-Id", id)
+    }
+
+    private suspend fun health(call: ApplicationCall) {
+        call.tell()
+        call.respondText("")
+    }
+
+    private suspend fun serve(call: ApplicationCall) {
+        val requestId = call.request.headers[REQUEST_ID].orEmpty()
+        val expected = call.request.headers["Wisteriahinge-Expect-Instance"]
+        val current = behaviour.get()
+        call.response.header(REQUEST_ID, requestId)
+        if (expected != id) return call.respond(HttpStatusCode.MisdirectedRequest)
+        if (current.draining) return shed(call)
+        ran.add(requestId)
+        running.incrementAndGet()
+        try {
+            val body = call.receive<ByteArray>()
+            if (!current.serviceTime.isZero) delay(current.serviceTime.toMillis())
+            call.tell()
+            call.response.header("Wisteriahinge-Server-Stamp", "stamp-$requestId")
+            val text = "${call.request.uri} ${body.size}"
+            call.respondText(text, status = HttpStatusCode.fromValue(current.answerStatus))
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private suspend fun shed(call: ApplicationCall) {
+        call.response.header("Wisteriahinge-Not-Executed", "1")
+        call.respond(HttpStatusCode.ServiceUnavailable)
+    }
+
+    override fun close() {
+        server.stop(gracePeriodMillis = 0, timeoutMillis = 500)
+    }
+}
+
+private val HttpStatusCode.Companion.MisdirectedRequest: HttpStatusCode
+    get() = HttpStatusCode(421, "Misdirected Request")
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
@@ -0,0 +1,163 @@
+package org.wisteriahinge.bench.standin
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.call
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import java.io.ByteArrayOutputStream
+import java.io.Closeable
+import java.io.DataOutputStream
+import java.time.Duration
+import java.util.Base64
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+
+/** A record of a stand-in topic; a null [value] removes the key. */
+private data class StoredRecord(val offset: Long, val key: String, val value: String?)
+
+/** The records of a topic from [first] on. */
+private data class StoredTopic(
+    val records: PersistentList<StoredRecord> = persistentListOf(),
+    val newest: PersistentMap<String, StoredRecord> = persistentHashMapOf(),
+    val first: Long = 0,
+    val end: Long = 0
+)
+
+/** How a stand-in store behaves; replaced as a whole on command. */
+public sealed interface StoreBehaviour {
+    public data object Up : StoreBehaviour
+
+    /** Every call is refused and does nothing. */
+    public data object Down : StoreBehaviour
+
+    /** Every answer takes [delay]. */
+    public data class Slow(val delay: Duration) : StoreBehaviour
+}
+
+private const val POLL_MILLIS = 10L
+
+/** The platform's store of keyed topics, as far as an instance reads it. */
+public class StandInStore : Closeable {
+    private val topics = AtomicReference(persistentHashMapOf<String, StoredTopic>())
+    private val behaviour = AtomicReference<StoreBehaviour>(StoreBehaviour.Up)
+    private val calls = AtomicInteger()
+    private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
+        routing {
+            get("/api/log-newest") { answered(call) { newest(call) } }
+            get("/api/log-read") { answered(call) { read(call) } }
+        }
+    }
+
+    /** Calls that were made, refused ones included. */
+    public val callCount: Int get() = calls.get()
+
+    /** Starts listening and returns the port. */
+    public fun start(): Int {
+        server.start(wait = false)
+        return runBlocking { server.engine.resolvedConnectors().first().port }
+    }
+
+    /** Replaces the behaviour for calls that arrive from now on. */
+    public fun behave(next: StoreBehaviour) {
+        behaviour.set(next)
+    }
+
+    /** Adds a record; a null [value] removes the key. */
+    public fun put(topic: String, key: String, value: String?) {
+        topics.updateAndGet { all ->
+            val known = all[topic] ?: StoredTopic()
+            val record = StoredRecord(known.end, key, value)
+            val newest = if (value == null) known.newest.remove(key) else known.newest.put(key, record)
+            all.put(
+                topic,
+                known.copy(records = known.records.add(record), newest = newest, end = known.end + 1)
+            )
+        }
+    }
+
+    /** Forgets the records of [topic] but for the newest of each key. */
+    public fun forget(topic: String) {
+        topics.updateAndGet { all ->
+            val known = all[topic] ?: StoredTopic()
+            all.put(topic, known.copy(records = persistentListOf(), first = known.end))
+        }
+    }
+
+    private suspend fun answered(call: ApplicationCall, answer: suspend () -> Unit) {
+        calls.incrementAndGet()
+        when (val current = behaviour.get()) {
+            StoreBehaviour.Up -> answer()
+            StoreBehaviour.Down -> call.respond(HttpStatusCode.ServiceUnavailable)
+            is StoreBehaviour.Slow -> {
+                delay(current.delay.toMillis())
+                answer()
+            }
+        }
+    }
+
+    private fun topicOf(call: ApplicationCall): StoredTopic =
+        topics.get()[call.request.queryParameters["topic"].orEmpty()] ?: StoredTopic()
+
+    private suspend fun newest(call: ApplicationCall) {
+        val topic = topicOf(call)
+        val items = topic.newest.values.joinToString(",") {
+            val value = Base64.getEncoder().encodeToString(it.value.orEmpty().encodeToByteArray())
+            """{"key":"${it.key}","value":"$value","offset":${it.offset}}"""
+        }
+        call.respondText(
+            """{"items":[$items],"hasMore":false,"end":${topic.end}}""",
+            ContentType.Application.Json
+        )
+    }
+
+    private suspend fun read(call: ApplicationCall) {
+        val from = call.request.queryParameters["from"]?.toLong() ?: 0
+        val waitMillis = call.request.queryParameters["waitMs"]?.toLong() ?: 0
+        val until = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos()
+        while (topicOf(call).end <= from && System.nanoTime() < until) {
+            delay(POLL_MILLIS)
+        }
+        val topic = topicOf(call)
+        if (from < topic.first) {
+            return call.respondText(
+                """{"first":${topic.first}}""",
+                ContentType.Application.Json,
+                HttpStatusCode.Gone
+            )
+        }
+        call.respondBytes(encode(topic, from))
+    }
+
+    private fun encode(topic: StoredTopic, from: Long): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        val out = DataOutputStream(bytes)
+        out.writeLong(topic.end)
+        out.writeLong(topic.first)
+        topic.records.filter { it.offset >= from }.forEach { record ->
+            val key = record.key.encodeToByteArray()
+            val value = record.value.orEmpty().encodeToByteArray()
+            out.writeInt(1 + key.size + value.size)
+            out.writeByte(key.size)
+            out.write(key)
+            out.write(value)
+        }
+        return bytes.toByteArray()
+    }
+
+    override fun close() {
+        server.stop(gracePeriodMillis = 0, timeoutMillis = 500)
+    }
+}
