--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/AdminServer.kt
@@ -133,8 +133,4 @@
 }
 
 /** Where the admin server listens, and the path at which it tells whether the instance is ready. */
-public data class AdminAddress(
-    val host: String,
-    val port: Int,
-    val readyPath: String = "/ready"
-)
+public data class AdminAddress(val host: String, val port: Int, val readyPath: String = "/ready")
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -41,10 +41,8 @@
  * The connections to all targets: at most [ConnectionLimits.perTarget] each, most recently used
  * first, so that surplus connections become idle and are closed by the target.
  */
-internal class TargetConnections(
-    private val loop: IoLoop,
-    private val limits: ConnectionLimits
-) : Closeable {
+internal class TargetConnections(private val loop: IoLoop, private val limits: ConnectionLimits) :
+    Closeable {
     private val pools = object : AbstractChannelPoolMap<Address, FixedChannelPool>() {
         override fun newPool(key: Address) = pool(key)
     }
@@ -70,7 +68,9 @@
     /** Whether the target may have closed the connection already, after [REUSE_SHARE] of its time. */
     private fun Channel.isStale(): Boolean {
         val handler = targetHandler() ?: return true
-        val limit = handler.keepAlive?.let { Duration.ofNanos((it.toNanos() * REUSE_SHARE).toLong()) }
+        val limit = handler.keepAlive?.let {
+            Duration.ofNanos((it.toNanos() * REUSE_SHARE).toLong())
+        }
         return handler.idleTime() > (limit ?: limits.maxIdle)
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
@@ -130,10 +130,9 @@
             .addListener(ChannelFutureListener { done(it.isSuccess) })
     }
 
-    private fun secondsOf(delay: Duration): String =
-        if (services.dialect.fractionalRetryAfter) {
-            BigDecimal.valueOf(delay.toMillis(), MILLI_DIGITS).toPlainString()
-        } else {
-            delay.plusMillis(MILLIS_PER_SECOND - 1).toSeconds().coerceAtLeast(1).toString()
-        }
+    private fun secondsOf(delay: Duration): String = if (services.dialect.fractionalRetryAfter) {
+        BigDecimal.valueOf(delay.toMillis(), MILLI_DIGITS).toPlainString()
+    } else {
+        delay.plusMillis(MILLIS_PER_SECOND - 1).toSeconds().coerceAtLeast(1).toString()
+    }
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
@@ -45,10 +45,8 @@
 )
 
 /** Accepts callers' HTTP/1.1 requests and hands them to the `calls` duty. */
-public class CallerServer(
-    private val settings: CallerServerSettings,
-    parts: CallerServerParts
-) : Closeable {
+public class CallerServer(private val settings: CallerServerSettings, parts: CallerServerParts) :
+    Closeable {
     @Volatile
     private var bounds = settings.bounds
     private val services = CallerServices(settings, parts) { bounds }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/EntitlementValidation.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/EntitlementValidation.kt
@@ -28,7 +28,8 @@
         list.nameFaults("plan", planNames) +
         services.flatMapIndexed { index, service -> list.serviceFaults(index, service) } +
         list.overlaps(services) +
-        list.planFaults(services, plans)
+        list.planFaults(services, plans) +
+        list.routeFaults()
 }
 
 private fun LocatedList<*>.serviceFaults(index: Int, service: ServiceEntry): List<ListFault> {
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListConversion.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListConversion.kt
@@ -1,11 +1,14 @@
 package org.wisteriahinge.adapters.lists
 
+import java.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Allowance
+import org.wisteriahinge.core.model.Backend
+import org.wisteriahinge.core.model.CallBounds
 import org.wisteriahinge.core.model.Credential
 import org.wisteriahinge.core.model.CredentialId
 import org.wisteriahinge.core.model.Customer
@@ -19,6 +22,8 @@
 import org.wisteriahinge.core.model.Plan
 import org.wisteriahinge.core.model.PlanId
 import org.wisteriahinge.core.model.Repeatability
+import org.wisteriahinge.core.model.Route
+import org.wisteriahinge.core.model.RouteTable
 import org.wisteriahinge.core.model.Service
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.Standing
@@ -46,13 +51,15 @@
 
 internal fun EntitlementsDocument.toModel(): Entitlements = Entitlements(
     services = services.map { it.toModel() }.indexedBy { it.id },
-    plans = plans.map { it.toModel() }.indexedBy { it.id }
+    plans = plans.map { it.toModel() }.indexedBy { it.id },
+    routes = RouteTable.of(routes.map { it.toModel() })
 )
 
 private fun ServiceEntry.toModel() = Service(
     id = ServiceId(name),
     targets = targets.map { it.toModel() }.toPersistentList(),
-    operations = operations.map { it.toModel() }.toPersistentList()
+    operations = operations.map { it.toModel() }.toPersistentList(),
+    probePath = probePath
 )
 
 private fun TargetEntry.toModel() = Target(
@@ -73,6 +80,20 @@
     }
 )
 
+private fun RouteEntry.toModel() = Route(
+    id = OperationId(name),
+    host = host,
+    pathPrefix = pathPrefix,
+    backends = backends.map { Backend(ServiceId(it.service), it.weight) }.toPersistentList(),
+    repeatability = if (repeatable) Repeatability.Repeatable else Repeatability.OncePerRequest,
+    bounds = CallBounds(
+        maxTargets = maxTargets,
+        timeout = timeoutMillis?.let(Duration::ofMillis),
+        objective = objectiveMillis?.let(Duration::ofMillis),
+        priority = priority
+    )
+)
+
 private fun PlanEntry.toModel() = Plan(
     id = PlanId(name),
     allowance = Allowance(
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListDocuments.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/lists/ListDocuments.kt
@@ -37,14 +37,16 @@
 internal data class EntitlementsDocument(
     val format: Int,
     val services: List<ServiceEntry>,
-    val plans: List<PlanEntry>
+    val plans: List<PlanEntry>,
+    val routes: List<RouteEntry> = emptyList()
 )
 
 @Serializable
 internal data class ServiceEntry(
     val name: String,
     val targets: List<TargetEntry>,
-    val operations: List<OperationEntry>
+    val operations: List<OperationEntry>,
+    @SerialName("probe_path") val probePath: String = "/load"
 )
 
 @Serializable
@@ -84,3 +86,19 @@
     val weight: Int = 1,
     val operations: List<String>
 )
+
+@Serializable
+internal data class RouteEntry(
+    val name: String,
+    val host: String,
+    @SerialName("path_prefix") val pathPrefix: String,
+    val repeatable: Boolean,
+    val backends: List<BackendEntry>,
+    @SerialName("max_targets") val maxTargets: Int? = null,
+    @SerialName("timeout_ms") val timeoutMillis: Long? = null,
+    @SerialName("objective_ms") val objectiveMillis: Long? = null,
+    val priority: Int = 0
+)
+
+@Serializable
+internal data class BackendEntry(val service: String, val weight: Int = 1)
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/InstanceMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/InstanceMetrics.kt
@@ -10,10 +10,7 @@
 private const val NANOS_PER_SECOND = 1e9
 
 /** Prometheus metrics of the process and of the time that it adds to calls. */
-public class InstanceMetrics(
-    private val registry: PrometheusRegistry,
-    callsInProgress: () -> Int
-) {
+public class InstanceMetrics(private val registry: PrometheusRegistry, callsInProgress: () -> Int) {
     // Upper bounds in seconds around the aim of 500 microseconds for 99 in 100 calls.
     private val added = Histogram.builder()
         .name("wisteriahinge_added_seconds")
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayTopic.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayTopic.kt
@@ -27,7 +27,8 @@
     private val address: Address,
     private val client: BackendClient
 ) : KeyedTopic {
-    override fun newest(): Result<TopicRecords, TopicFailure> = get(newestPath(topic), Duration.ZERO)
+    override fun newest(): Result<TopicRecords, TopicFailure> =
+        get(newestPath(topic), Duration.ZERO)
 
     override fun changes(from: Long, waitUpTo: Duration): Result<TopicRecords, TopicFailure> =
         get("${changesPath(topic)}?from=$from&wait_ms=${waitUpTo.toMillis()}", waitUpTo)
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayWire.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayWire.kt
@@ -12,11 +12,7 @@
 
 /** A record between instances; a [value] of null removes the key. */
 @Serializable
-internal class WireTopicRecord(
-    val key: String,
-    val offset: Long,
-    @ByteString val value: ByteArray?
-)
+internal class WireTopicRecord(val key: String, val offset: Long, @ByteString val value: ByteArray?)
 
 /** Records between instances; what follows them begins at [nextOffset]. */
 @Serializable
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/lists/ListReaderTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/lists/ListReaderTest.kt
@@ -61,6 +61,37 @@
         entitlements: String = this.entitlements
     ) = read(customers, entitlements).getError().orEmpty().map { it.toString() }
 
+    private val routes = """
+        |routes:
+        |  - name: open
+        |    host: lab.example
+        |    path_prefix: /r/
+        |    repeatable: false
+        |    backends: [{ service: lookup, weight: 3 }]
+        |    max_targets: 2
+        |    timeout_ms: 1200
+    """.trimMargin()
+
+    @Test
+    fun `routes are read with their bounds`() {
+        val route = read(entitlements = "$entitlements\n$routes").get()
+            ?.entitlements?.routes?.match("lab.example", "/r/1")
+        expectThat(route?.id?.value).isEqualTo("open")
+        expectThat(route?.bounds?.maxTargets).isEqualTo(2)
+        expectThat(route?.bounds?.timeout?.toMillis()).isEqualTo(1_200)
+    }
+
+    @Test
+    fun `faults of routes are found with their place`() {
+        val faulty = routes.replace("/r/", "/r").replace("service: lookup", "service: lookp")
+            .replace("1200", "0")
+        val found = faults(entitlements = "$entitlements\n$faulty")
+        expectThat(found).hasSize(3)
+        expectThat(found[0]).contains("begin and end it with a slash")
+        expectThat(found[1]).contains("timeout_ms 0; expected a number above 0")
+        expectThat(found[2]).contains("unknown service 'lookp'; list it under services")
+    }
+
     @Test
     fun `valid lists keep their order`() {
         val configuration = read().get()
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -94,7 +94,7 @@
 public class FrontInstance(private val settings: FrontSettings, private val clock: Clock) :
     Closeable {
     private val registry = PrometheusRegistry()
-    private val path = 
+    private val path =
         CallPath(pathSettings(settings.callers), initialState(), registry, clock, ::perform)
     private val storeClient = BackendClient(ConnectionLimits(perTarget = 4), path.loop)
     private val sources = sources()
--- a/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
@@ -71,7 +71,16 @@
             targets.forEach { (_, target) -> target.start() }
             path.startDuty()
             path.offerWaiting(CallEvent.Configured(configuration()))
-            path.offerWaiting(CallEvent.TargetsListed(listing(targets.map { it.first to it.second.address })))
+            path.offerWaiting(
+                CallEvent.TargetsListed(
+                    listing(
+                        targets.map {
+                            it.first to
+                                it.second.address
+                        }
+                    )
+                )
+            )
             val done = send(client, Address("127.0.0.1", path.listen()), calls, until)
             logger.info { "warm-up made $done calls" }
         } catch (e: IOException) {
@@ -108,7 +117,9 @@
         RevisionNumber(1),
         Customers(persistentHashMapOf()),
         Entitlements(
-            persistentHashMapOf(SERVICE to Service(SERVICE, persistentListOf(), persistentListOf())),
+            persistentHashMapOf(
+                SERVICE to Service(SERVICE, persistentListOf(), persistentListOf())
+            ),
             persistentHashMapOf(),
             RouteTable.of(
                 listOf(
@@ -129,7 +140,9 @@
     )
 
     private fun listing(targets: List<Pair<TargetId, Address>>): ListedTargets {
-        val listed = targets.map { (id, address) -> Target(id, Zone("warm-up"), address, slots = 3) }
+        val listed = targets.map { (id, address) ->
+            Target(id, Zone("warm-up"), address, slots = 3)
+        }
         return ListedTargets(
             persistentHashMapOf(SERVICE to persistentListOf<Target>().addAll(listed))
         )
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
@@ -17,7 +17,12 @@
 
 @OptIn(ExperimentalCli::class)
 internal class FrontCommand(context: CommandContext) :
-    Command("front", "Run an instance on the users' platform until SIGTERM", context, Settings.ofFront) {
+    Command(
+        "front",
+        "Run an instance on the users' platform until SIGTERM",
+        context,
+        Settings.ofFront
+    ) {
     override fun run(): Int = withSettings { values ->
         try {
             ChartCatalog.loadAll()
@@ -37,7 +42,9 @@
             logger.info { "instance ${settings.name} serves callers on ${settings.callers}" }
             Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
             // The settings of a process are its command line, so that there is nothing to reload.
-            Signal.handle(Signal("HUP")) { logger.info { "SIGHUP: settings take effect at a start" } }
+            Signal.handle(Signal("HUP")) {
+                logger.info { "SIGHUP: settings take effect at a start" }
+            }
             instance.awaitStopped()
             ExitCode.DONE
         } catch (e: IOException) {
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
@@ -20,7 +20,11 @@
 
 @OptIn(ExperimentalCli::class)
 internal class WarmUpCommand(context: CommandContext) :
-    Command("warm-up", "Load the code of 'front' once, to record a class archive at build", context) {
+    Command(
+        "warm-up",
+        "Load the code of 'front' once, to record a class archive at build",
+        context
+    ) {
     override fun run(): Int {
         ChartCatalog.loadAll()
         val instance = FrontInstance(frontSettings(), SteadyClock())
--- a/app/src/test/kotlin/org/wisteriahinge/app/OperationsPageTest.kt
+++ b/app/src/test/kotlin/org/wisteriahinge/app/OperationsPageTest.kt
@@ -11,11 +11,11 @@
 
 /** Guards against a page for the person on call that lacks a setting, a reason or an outcome. */
 class OperationsPageTest {
-    private val page = Path.of("../docs/operations.md").readText()
+    private val page = Path.of("../docs/OPERATIONS.md").readText()
 
     @Test
     fun `every setting is on the page with its default`() {
-        Settings.ofInstance.forEach { spec ->
+        (Settings.ofInstance + Settings.ofFront).distinct().forEach { spec ->
             val row = page.lines().filter { it.startsWith("| `${spec.name}` |") }
             expectThat(row).describedAs(spec.name).hasSize(1)
             expectThat(row.first()).contains(spec.default.orEmpty())
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
@@ -80,10 +80,20 @@
         topics.updateAndGet { all ->
             val known = all[topic] ?: StoredTopic()
             val record = StoredRecord(known.end, key, value)
-            val newest = if (value == null) known.newest.remove(key) else known.newest.put(key, record)
+            val newest = if (value ==
+                null
+            ) {
+                known.newest.remove(key)
+            } else {
+                known.newest.put(key, record)
+            }
             all.put(
                 topic,
-                known.copy(records = known.records.add(record), newest = newest, end = known.end + 1)
+                known.copy(
+                    records = known.records.add(record),
+                    newest = newest,
+                    end = known.end + 1
+                )
             )
         }
     }
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/FrontPathTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/FrontPathTest.kt
@@ -102,11 +102,8 @@
         }
     }
 
-    private class Running(
-        val instance: FrontInstance,
-        val callers: Address,
-        val ready: Address
-    ) : Closeable {
+    private class Running(val instance: FrontInstance, val callers: Address, val ready: Address) :
+        Closeable {
         override fun close() = instance.close()
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -14,7 +14,7 @@
 import org.wisteriahinge.core.retry.RetryVerdict
 import org.wisteriahinge.core.routing.RouteChoice
 
-/** Delay told to callers when no target took the request; a queue at a target moves on within that time. */
+/** Delay told to callers when no target took the request; queues at targets move on within it. */
 private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofMillis(250)
 
 /** Least time before the deadline at which a further attempt can still bring an answer. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallerChecks.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallerChecks.kt
@@ -50,12 +50,11 @@
 /** Without a credential only an open route could have served the request. */
 private fun Configuration.requireCredentialOrRoute(
     request: CallRequest
-): Result<Unit, RefusalReason> =
-    if (request.credential == null && !entitlements.routes.isEmpty) {
-        Err(RefusalReason.UnknownOperation)
-    } else {
-        Ok(Unit)
-    }
+): Result<Unit, RefusalReason> = if (request.credential == null && !entitlements.routes.isEmpty) {
+    Err(RefusalReason.UnknownOperation)
+} else {
+    Ok(Unit)
+}
 
 private fun Customers.authenticate(
     presented: PresentedCredential?
--- a/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
@@ -48,12 +48,15 @@
     val offsets: PersistentMap<TargetId, Long> = persistentHashMapOf()
 ) {
     /** Takes over [news] of the registry at [now]. */
-    public fun decide(news: WatchNews<DirectoryRecord>, now: Instant): DirectoryState = when (news) {
-        WatchNews.Lost -> copy(link = lost())
-        WatchNews.Regained -> copy(link = RegistryLink.Up(now))
-        is WatchNews.Newest -> replaced(news.records, now)
-        is WatchNews.Changes -> news.records.fold(this) { state, record -> state.noted(record, now) }
-    }.withoutLapsed(now)
+    public fun decide(news: WatchNews<DirectoryRecord>, now: Instant): DirectoryState =
+        when (news) {
+            WatchNews.Lost -> copy(link = lost())
+            WatchNews.Regained -> copy(link = RegistryLink.Up(now))
+            is WatchNews.Newest -> replaced(news.records, now)
+            is WatchNews.Changes -> news.records.fold(this) { state, record ->
+                state.noted(record, now)
+            }
+        }.withoutLapsed(now)
 
     /** The targets that may get new work. */
     public fun listing(): ListedTargets {
--- a/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/lifecycle/LifecycleState.kt
@@ -52,7 +52,13 @@
     private fun counted(inProgress: Int, now: Instant): LifecycleDecision = when {
         drainUntil == null || handoverUntil == null -> LifecycleDecision(this)
         phase == LifecyclePhase.Leaving ->
-            if (now >= handoverUntil) step(LifecycleTrigger.HandoverEnded) else LifecycleDecision(this)
+            if (now >=
+                handoverUntil
+            ) {
+                step(LifecycleTrigger.HandoverEnded)
+            } else {
+                LifecycleDecision(this)
+            }
         inProgress == 0 -> step(LifecycleTrigger.Drained)
         now >= drainUntil -> step(LifecycleTrigger.DrainExpired)
         else -> LifecycleDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Entitlements.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Entitlements.kt
@@ -121,9 +121,7 @@
 }
 
 /** The targets of all services as a registry lists them, apart from the operators' lists. */
-public data class ListedTargets(
-    val byService: PersistentMap<ServiceId, PersistentList<Target>>
-)
+public data class ListedTargets(val byService: PersistentMap<ServiceId, PersistentList<Target>>)
 
 /** An operation found for a request, with its service. */
 public data class MatchedOperation(val service: Service, val operation: Operation) {
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetScore.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetScore.kt
@@ -52,7 +52,8 @@
 ) {
     /** Added time for a target in another zone. */
     val awayMillis: Double
-        get() = policy.zonePenaltyMillis + policy.zonePenaltyMillisPerKib * bodyBytes / BYTES_PER_KIB
+        get() = policy.zonePenaltyMillis +
+            policy.zonePenaltyMillisPerKib * bodyBytes / BYTES_PER_KIB
 }
 
 /** Expected time to an answer in milliseconds; lower is better. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -69,10 +69,7 @@
 }
 
 /** The next state and what it tells, in order. */
-public data class WatchDecision<R>(
-    val state: WatchState,
-    val news: PersistentList<WatchNews<R>>
-)
+public data class WatchDecision<R>(val state: WatchState, val news: PersistentList<WatchNews<R>>)
 
 /** What was last told of the connection to the topic. */
 public sealed interface WatchLink {
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesTest.kt
@@ -69,7 +69,8 @@
         )
     )
 
-    private fun service(id: ServiceId) = Service(id, persistentListOf(), persistentListOf(), "/health")
+    private fun service(id: ServiceId) =
+        Service(id, persistentListOf(), persistentListOf(), "/health")
 
     private fun targets(count: Int) = (1..count).map {
         Target(TargetId("t$it"), Zone("a"), Address("10.0.0.$it", 80), slots = 3)
@@ -272,7 +273,11 @@
     @Test
     fun `a target that leaves the list gets no new work`() {
         val player = player(targets = 2)
-        player.play(CallEvent.TargetsListed(ListedTargets(persistentHashMapOf(service to persistentListOf(targets(2)[1])))))
+        player.play(
+            CallEvent.TargetsListed(
+                ListedTargets(persistentHashMapOf(service to persistentListOf(targets(2)[1])))
+            )
+        )
         repeat(4) { number ->
             player.arriveOpen(request(number + 1L))
             expectThat(player.forwarded.single().target.id.value).isEqualTo("t2")
--- a/core/src/test/kotlin/org/wisteriahinge/core/directory/DirectoryStateTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/directory/DirectoryStateTest.kt
@@ -66,7 +66,9 @@
     fun `an older word never replaces a newer one`() {
         val drained =
             settled().decide(changes(listed("t-1", 5, TargetStanding.Draining, 81)), later)
-        expectThat(drained.decide(newest(listed("t-1", 4, port = 81), listed("t-2", 2)), later).names())
+        expectThat(
+            drained.decide(newest(listed("t-1", 4, port = 81), listed("t-2", 2)), later).names()
+        )
             .isEqualTo(listOf("t-2"))
     }
 
--- a/core/src/test/kotlin/org/wisteriahinge/core/retry/RetryWindowTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/retry/RetryWindowTest.kt
@@ -14,7 +14,12 @@
 class RetryWindowTest {
     private val start = Instant.parse("2026-01-01T00:00:00Z")
     private val service = ServiceId("lookup")
-    private val limit = RetryLimit.Window(Duration.ofSeconds(10), 0.2, extra = 1.0, hedgeShare = 0.5)
+    private val limit = RetryLimit.Window(
+        Duration.ofSeconds(10),
+        0.2,
+        extra = 1.0,
+        hedgeShare = 0.5
+    )
     private val empty = RetryState(RetrySettings(limit = limit))
 
     private fun requested(count: Int, at: Instant = start): RetryState =
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/KeyedTopic.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/KeyedTopic.kt
@@ -5,7 +5,11 @@
 import kotlinx.collections.immutable.PersistentList
 
 /** A record of a [KeyedTopic]; a [value] of null removes the key. Offsets grow by 1. */
-public class KeyedRecord(public val key: String, public val offset: Long, public val value: ByteArray?)
+public class KeyedRecord(
+    public val key: String,
+    public val offset: Long,
+    public val value: ByteArray?
+)
 
 /** Records of a topic; what follows them begins at [nextOffset]. */
 public class TopicRecords(
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/RelayedTopic.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/RelayedTopic.kt
@@ -33,24 +33,22 @@
         }
 
     /** While a relay failed, reads end in time to try the next one. */
-    private fun originWait(): Duration =
-        if (relays.isEmpty()) Duration.ofDays(1) else RELAY_WAIT
+    private fun originWait(): Duration = if (relays.isEmpty()) Duration.ofDays(1) else RELAY_WAIT
 
     private fun read(
         from: (KeyedTopic) -> Result<TopicRecords, TopicFailure>
-    ): Result<TopicRecords, TopicFailure> =
-        when (val source = choice.source(clock.instant())) {
-            TopicSource.Origin -> from(origin)
-            is TopicSource.Relay -> {
-                val result = from(relays[source.index])
-                if (result.failedAtRelay()) {
-                    choice = choice.relayFailed(clock.instant())
-                    from(origin)
-                } else {
-                    result
-                }
+    ): Result<TopicRecords, TopicFailure> = when (val source = choice.source(clock.instant())) {
+        TopicSource.Origin -> from(origin)
+        is TopicSource.Relay -> {
+            val result = from(relays[source.index])
+            if (result.failedAtRelay()) {
+                choice = choice.relayFailed(clock.instant())
+                from(origin)
+            } else {
+                result
             }
         }
+    }
 
     private fun Result<TopicRecords, TopicFailure>.failedAtRelay(): Boolean {
         var failed = false
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicMirror.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicMirror.kt
@@ -41,7 +41,13 @@
         }
         return copy(
             newest = read.records.fold(newest) { known, record ->
-                if (record.value == null) known.remove(record.key) else known.put(record.key, record)
+                if (record.value ==
+                    null
+                ) {
+                    known.remove(record.key)
+                } else {
+                    known.put(record.key, record)
+                }
             },
             recent = kept,
             firstOffset = kept.firstOrNull()?.offset ?: read.nextOffset,
@@ -58,7 +64,8 @@
 }
 
 /** Reads [topic] and keeps what was read for others; [changed] is called on the reading thread. */
-public class TopicMirror(private val topic: KeyedTopic, private val changed: () -> Unit) : KeyedTopic {
+public class TopicMirror(private val topic: KeyedTopic, private val changed: () -> Unit) :
+    KeyedTopic {
     @Volatile
     private var state = MirroredRecords()
 
