--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontView.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontView.kt
@@ -15,8 +15,10 @@
     private val lifecycle: LifecycleDuty,
     private val path: CallPath
 ) : AdminView {
+    /** The newest configuration that came into force. */
     @Volatile
-    private var revision = RevisionNumber.None
+    var revision: RevisionNumber = RevisionNumber.None
+        private set
 
     @Volatile
     private var hasTargets = false
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
@@ -36,15 +36,14 @@
         // Processes of different machines may have the same id.
         val seed = System.nanoTime() xor values[Settings.instanceName].hashCode().toLong()
         val settings = values.toFrontSettings(seed)
+        // The settings of a process are its command line, so that there is nothing to reload. Without
+        // a handler the signal would end the process.
+        Signal.handle(Signal("HUP")) { logger.info { "SIGHUP: settings take effect at a start" } }
         val instance = FrontInstance(settings, SteadyClock())
         return try {
             instance.start()
             logger.info { "instance ${settings.name} serves callers on ${settings.callers}" }
             Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
-            // The settings of a process are its command line, so that there is nothing to reload.
-            Signal.handle(Signal("HUP")) {
-                logger.info { "SIGHUP: settings take effect at a start" }
-            }
             instance.awaitStopped()
             ExitCode.DONE
         } catch (e: IOException) {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -14,8 +14,11 @@
 import org.wisteriahinge.core.retry.RetryVerdict
 import org.wisteriahinge.core.routing.RouteChoice
 
-/** Delay told to callers when no target took the request; queues at targets move on within it. */
-private val RETRY_AFTER_NOT_TAKEN: Duration = Duration.ofMillis(250)
+/** Delay told to callers when a full target did not take the request; queues move on within it. */
+private val RETRY_AFTER_FULL: Duration = Duration.ofMillis(250)
+
+/** Delay told to callers when a target with free slots did not take it; another one may at once. */
+private val RETRY_AFTER_REJECTED: Duration = Duration.ofMillis(30)
 
 /** Least time before the deadline at which a further attempt can still bring an answer. */
 private val MIN_TIME_FOR_ATTEMPT: Duration = Duration.ofMillis(2)
@@ -136,7 +139,10 @@
         is RetryVerdict.Denied -> {
             val counter = CallCounter.RetryDenied(call.matched.service.id, verdict.denial)
             CallsDecision(withCall(noted)).emit(CallEffect.Count(counter))
-                .then { it.refuse(context.callId, noted.refusalAfter(cause), context.now) }
+                .then {
+                    val refusal = noted.refusalAfter(cause, it.retryDelay(context))
+                    it.refuse(context.callId, refusal, context.now)
+                }
         }
     }
 }
@@ -166,24 +172,30 @@
                 .then { it.forward(call, choice, now) }
         RouteChoice.NoTarget -> refuse(
             call.request.callId,
-            call.notTaken(),
+            call.notTaken(RETRY_AFTER_FULL),
             now
         )
     }
 }
 
+/** A target that sheds although it has free slots is at fault, and others are not. */
+private fun CallsState.retryDelay(context: AttemptContext): Duration {
+    val load = routing.targets[context.attempt.target.id]?.load ?: return RETRY_AFTER_REJECTED
+    return if (load.inFlight < load.slots) RETRY_AFTER_REJECTED else RETRY_AFTER_FULL
+}
+
 /** Not run only when every attempt certainly did not run. */
 private fun CallInProgress.execution(): Execution =
     if (mayHaveRun) Execution.MayHaveRun else Execution.NotRun
 
 /** The status 503 states that the request did not run, so that an unknown outcome needs another. */
-private fun CallInProgress.notTaken(): Refusal = when (execution()) {
-    Execution.NotRun -> Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NOT_TAKEN)
+private fun CallInProgress.notTaken(retryAfter: Duration): Refusal = when (execution()) {
+    Execution.NotRun -> Refusal(RefusalReason.NoTarget, Execution.NotRun, retryAfter)
     Execution.WasRun, Execution.MayHaveRun ->
         Refusal(RefusalReason.TargetFailed, Execution.MayHaveRun)
 }
 
-private fun CallInProgress.refusalAfter(cause: RetryCause): Refusal = when (cause) {
+private fun CallInProgress.refusalAfter(cause: RetryCause, retryAfter: Duration): Refusal = when (cause) {
     RetryCause.ErrorAnswer -> Refusal(RefusalReason.TargetFailed, execution())
     is RetryCause.Failure -> when (cause.failure) {
         AttemptFailure.TimedOut -> Refusal(RefusalReason.AnswerTooSlow, execution())
@@ -192,7 +204,7 @@
         AttemptFailure.TargetDraining,
         AttemptFailure.WrongTarget,
         AttemptFailure.NotSent
-        -> notTaken()
+        -> notTaken(retryAfter)
         AttemptFailure.Disconnected,
         AttemptFailure.Truncated,
         AttemptFailure.InvalidAnswer
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesTest.kt
@@ -171,6 +171,20 @@
         expectThat(player.forwarded.single().target.id).isNotEqualTo(first.target.id)
     }
 
+    @Test
+    fun `a caller comes back sooner when the target that rejected it had free slots`() {
+        val delays = listOf(1, 3).map { inFlight ->
+            val player = player(ratio = 0.0).arriveOpen(request(1, "/results/new/1"))
+            val attempt = player.forwarded.single()
+            val load = report(start, inFlight)
+            player.play(
+                CallEvent.AttemptFailed(CallId(1), attempt.id, AttemptFailure.Shed, true, load)
+            )
+            player.refusals.single().retryAfter ?: Duration.ZERO
+        }
+        expectThat(delays[0]).isLessThan(delays[1])
+    }
+
     @Test
     fun `an error answer counts against the targets of a request`() {
         val player = player().arriveOpen(request(1))
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
@@ -32,27 +32,45 @@
 ) : Duty("watch-$topicName") {
     private var state = WatchState(pace, seed)
 
-    @Volatile
-    private var interruptedRead = false
+    private val readLock = Any()
+    private var isReading = false
+    private var isToReadAgain = false
 
     /** Ends a read that waits and starts the next one, because its connection may be dead. */
     public fun readAgain() {
-        interruptedRead = true
-        interrupt()
+        synchronized(readLock) {
+            if (!isReading) return
+            isToReadAgain = true
+            interrupt()
+        }
     }
 
     override fun runOnce() {
-        val event = try {
+        val decision = state.decide(nextEvent(), clock.instant())
+        state = decision.state
+        decision.news.forEach(follower)
+    }
+
+    private fun nextEvent(): WatchEvent<R> {
+        synchronized(readLock) { isReading = true }
+        return try {
             sleepUntil(state.nextReadAt)
             read(clock.instant())
         } catch (e: InterruptedException) {
-            if (!interruptedRead) throw e
-            interruptedRead = false
+            if (!synchronized(readLock) { isToReadAgain }) throw e
             WatchEvent.Failed(clock.instant())
+        } finally {
+            endReading()
+        }
+    }
+
+    /** An interrupt that came too late for the read must not reach what follows it. */
+    private fun endReading() {
+        synchronized(readLock) {
+            isReading = false
+            if (isToReadAgain) Thread.interrupted()
+            isToReadAgain = false
         }
-        val decision = state.decide(event, clock.instant())
-        state = decision.state
-        decision.news.forEach(follower)
     }
 
     private fun sleepUntil(time: Instant) {
--- /dev/null
+++ b/runtime/src/test/kotlin/org/wisteriahinge/runtime/TopicWatchDutyTest.kt
@@ -0,0 +1,53 @@
+package org.wisteriahinge.runtime
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.time.Clock
+import java.time.Duration
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.collections.immutable.persistentListOf
+import org.junit.jupiter.api.Test
+import org.wisteriahinge.core.watch.WatchNews
+import org.wisteriahinge.core.watch.WatchPace
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isTrue
+
+/** Guards against a watch that hangs on a dead connection, or dies when it is woken. */
+class TopicWatchDutyTest {
+    private val pace = WatchPace(Duration.ZERO, Duration.ofSeconds(60), Duration.ofMillis(1))
+
+    /** A topic whose changes never come; the read ends by an interrupt only. */
+    private class SilentTopic : KeyedTopic {
+        val reads = AtomicInteger()
+        val reading = Semaphore(0)
+
+        override fun newest(): Result<TopicRecords, TopicFailure> =
+            Ok(TopicRecords(persistentListOf(), 1))
+
+        override fun changes(from: Long, waitUpTo: Duration): Result<TopicRecords, TopicFailure> {
+            reads.incrementAndGet()
+            reading.release()
+            Thread.sleep(waitUpTo.toMillis())
+            return Ok(TopicRecords(persistentListOf(), from))
+        }
+    }
+
+    @Test
+    fun `a read on a dead connection is given up and the duty goes on`() {
+        val topic = SilentTopic()
+        val news = ConcurrentLinkedQueue<WatchNews<String>>()
+        val duty = TopicWatchDuty("test", topic, pace, 1, Clock.systemUTC(), { it.key }, news::add)
+        duty.start()
+        repeat(20) {
+            expectThat(topic.reading.tryAcquire(5, TimeUnit.SECONDS)).isTrue()
+            duty.readAgain()
+            duty.readAgain()
+        }
+        expectThat(topic.reads.get()).isGreaterThanOrEqualTo(20)
+        duty.stop(Duration.ofSeconds(1))
+    }
+}
