Refuse early when no target has room, and heed removals in time after a cut

Changes: newest records are read at once after an expiry; removals count 2.8 s after the last failed read began; shorter read and connect times at the store; surveys admit: a call goes only to a target that reported room, after a second round of four more it is refused with 250 to 500 ms; hedges need a free slot; the stop hook is there before the start and ends before the grace time.

--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -33,7 +33,9 @@
 /** An instance that starts under load is more useful slow than absent. */
 private val WARM_UP_LIMIT: Duration = Duration.ofMillis(900)
 
-private const val CONNECTIONS_TO_STORE = 4
+/** Connections to the store and to each relay; one that is not accepted in time is tried anew. */
+private val storeConnections =
+    ConnectionLimits(perTarget = 4, connectTimeout = Duration.ofMillis(400))
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /**
@@ -51,7 +53,7 @@
         ::perform
     )
     private val storeClient =
-        BackendClient(ConnectionLimits(perTarget = CONNECTIONS_TO_STORE), path.loop)
+        BackendClient(storeConnections, path.loop)
     private val sources = sources()
     private val lifecycle = LifecycleDuty(
         settings.grace - GRACE_MARGIN,
@@ -143,7 +145,7 @@
 
     /** Lets callers be sent elsewhere, then waits for the calls in progress. */
     public fun drain() {
-        lifecycle.drain(settings.grace)
+        lifecycle.drain(settings.grace - GRACE_MARGIN)
     }
 
     /** Waits for a stop; the instance's own threads do not keep the process alive. */
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -81,7 +81,7 @@
             is WatchNews.Newest -> news.records.forEach(::configured)
             is WatchNews.Changes -> news.records.forEach(::configured)
             WatchNews.Lost -> logger.warn { "lost the operator's topic; the configuration stays" }
-            WatchNews.Regained -> logger.info { "reads the operator's topic" }
+            is WatchNews.Regained -> logger.info { "reads the operator's topic" }
         }
     }
 
@@ -102,7 +102,7 @@
                 // Both topics are read over connections that may have died together.
                 configurationWatch.readAgain()
             }
-            WatchNews.Regained -> logger.info { "reads the targets' topic" }
+            is WatchNews.Regained -> logger.info { "reads the targets' topic" }
         }
         directory = directory.decide(news, clock.instant())
         tell(directory.listing())
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
@@ -41,9 +41,9 @@
         Signal.handle(Signal("HUP")) { logger.info { "SIGHUP: settings take effect at a start" } }
         val instance = FrontInstance(settings, SteadyClock())
         return try {
+            Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
             instance.start()
             logger.info { "instance ${settings.name} serves callers on ${settings.callers}" }
-            Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
             instance.awaitStopped()
             ExitCode.DONE
         } catch (e: IOException) {
--- a/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
@@ -13,6 +13,7 @@
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.Service
 import org.wisteriahinge.core.model.WorkClass
+import org.wisteriahinge.core.survey.SurveyPolicy
 
 /** Delay told to callers; queues are no longer than this. */
 private val RETRY_AFTER_OVERLOAD: Duration = Duration.ofMillis(250)
@@ -22,6 +23,7 @@
 
 /** Refuses what cannot be served in time before anything is done for it. */
 internal fun CallsState.enterHeadroom(call: CallInProgress, now: Instant): StageOutcome {
+    if (isAdmittedBySurvey(call)) return StageOutcome.Passed(CallsDecision(this))
     val known = copy(admission = admission.withService(call.matched.service).withLong(call))
     val decision = CallsDecision(known)
     val free = known.hasRoom(call, now)
@@ -34,6 +36,7 @@
 
 /** Lets [call] go to the targets, queues it, or refuses it. */
 internal fun CallsState.enterAdmission(call: CallInProgress, now: Instant): StageOutcome {
+    if (isAdmittedBySurvey(call)) return StageOutcome.Passed(CallsDecision(this))
     val service = call.matched.service.id
     val workClass = call.matched.operation.workClass
     val known = copy(admission = admission.withService(call.matched.service))
@@ -50,6 +53,13 @@
     return StageOutcome.Suspended(freed.update { it.enqueue(call) })
 }
 
+/** Surveys know the queues at the targets, which the limit of an instance only estimates. */
+private fun CallsState.isAdmittedBySurvey(call: CallInProgress): Boolean =
+    when (surveys.policy) {
+        SurveyPolicy.Off -> false
+        is SurveyPolicy.BeforeEach -> call.caller.isOpen
+    }
+
 /** Gives back the place of a call that ended, or takes it out of its queue. */
 internal fun CallsState.leaveAdmission(
     call: CallInProgress,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -29,7 +29,8 @@
         call.matched.service.id,
         call.matched.operation.workClass,
         call.tried.addAll(closedTargets(call, now)),
-        call.request.bodyBytes ?: 0
+        call.request.bodyBytes ?: 0,
+        call.roomAt
     )
 
 /** Chooses a target for the first attempt of [call] and forwards it, or refuses without one. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -3,6 +3,7 @@
 import java.time.Duration
 import java.time.Instant
 import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.WorkClass
 import org.wisteriahinge.core.quarantine.isSuspected
 import org.wisteriahinge.core.retry.Hedging
@@ -67,6 +68,7 @@
         shortCallsWait(service) -> RetryDenial.CallsWaiting
         spent == null -> RetryDenial.BudgetSpent
         choice !is RouteChoice.Chosen -> RetryDenial.NoOtherTarget
+        !hasFreeSlot(choice.target.id) -> RetryDenial.CallsWaiting
         else -> return CallsDecision(copy(retries = spent))
             .emit(CallEffect.Count(CallCounter.Hedged(service)))
             .then { it.forward(considered, choice, now) }
@@ -75,6 +77,12 @@
         .emit(CallEffect.Count(CallCounter.HedgeDenied(service, denial)))
 }
 
+/** A hedge at a busy target delays others and hardly helps its own call. */
+private fun CallsState.hasFreeSlot(target: TargetId): Boolean {
+    val load = routing.targets[target]?.load ?: return true
+    return load.inFlight < load.slots
+}
+
 /** Whether a hedge would take the place of a waiting call; long calls wait for other slots. */
 private fun CallsState.shortCallsWait(service: ServiceId): Boolean =
     (admission.services[service]?.short?.queue?.size ?: 0) > 0
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -33,7 +33,8 @@
  * [attemptsStarted] counts all attempts, ended ones included; [tried] are their targets.
  * [mayHaveRun] is set once an ended attempt may have run. [waitingAt] is the stage that suspended
  * the call. [holdsPlace] is set while it counts against its plan's concurrent calls. [arrivals]
- * counts the ended attempts that reached their target.
+ * counts the ended attempts that reached their target. [roomAt] are the targets that reported room
+ * in the call's survey.
  */
 public data class CallInProgress(
     val request: CallRequest,
@@ -47,7 +48,8 @@
     val arrivals: Int = 0,
     val hedgeConsidered: Boolean = false,
     val claim: CallClaim = CallClaim.None,
-    val holdsPlace: Boolean = false
+    val holdsPlace: Boolean = false,
+    val roomAt: PersistentSet<TargetId> = persistentSetOf()
 )
 
 /** All that the decisions on calls depend on. Owned by the `calls` duty.
--- a/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
@@ -11,10 +11,12 @@
 import org.wisteriahinge.core.watch.WatchNews
 
 /**
- * Time after the return of the registry within which targets that live write their entries again.
- * Entries expire while the registry is away, so that until then a removal proves nothing.
+ * Time after the last failed read for which a removal proves nothing.
+ *
+ * Entries expire while the registry is away, and targets that live write them again within two
+ * seconds of its return. An instance that alone was cut off must heed removals after 3 s.
  */
-private val REENTRY_TIME: Duration = Duration.ofMillis(2_200)
+private val REENTRY_TIME: Duration = Duration.ofMillis(2_800)
 
 /** What is known of one target. It is used until [lapsesAt] although its entry was removed. */
 public data class KnownTarget(
@@ -29,8 +31,8 @@
     /** It never could. */
     public data object Unread : RegistryLink
 
-    /** It can, since [since]. */
-    public data class Up(val since: Instant) : RegistryLink
+    /** It can; the last read that failed began at [lastFailureAt]. */
+    public data class Up(val lastFailureAt: Instant?) : RegistryLink
 
     /** It cannot at the moment; the last list holds. */
     public data object Down : RegistryLink
@@ -51,7 +53,7 @@
     public fun decide(news: WatchNews<DirectoryRecord>, now: Instant): DirectoryState =
         when (news) {
             WatchNews.Lost -> copy(link = lost())
-            WatchNews.Regained -> copy(link = RegistryLink.Up(now))
+            is WatchNews.Regained -> copy(link = RegistryLink.Up(news.lastFailureAt))
             is WatchNews.Newest -> replaced(news.records, now)
             is WatchNews.Changes -> news.records.fold(this) { state, record ->
                 state.noted(record, now)
@@ -117,7 +119,7 @@
     private fun reentryEnd(now: Instant): Instant? = when (link) {
         RegistryLink.Unread -> null
         RegistryLink.Down -> now + REENTRY_TIME
-        is RegistryLink.Up -> (link.since + REENTRY_TIME).takeIf { it > now }
+        is RegistryLink.Up -> link.lastFailureAt?.plus(REENTRY_TIME)?.takeIf { it > now }
     }
 
     private fun withoutLapsed(now: Instant): DirectoryState = copy(
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RouteRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RouteRequest.kt
@@ -11,12 +11,14 @@
  * What a target is needed for.
  *
  * Targets in [exclude] were tried by earlier attempts. [bodyBytes] is the length of the body.
+ * While one of the targets in [among] can be used, no other is.
  */
 public data class RouteRequest(
     val service: ServiceId,
     val workClass: WorkClass,
     val exclude: PersistentSet<TargetId> = persistentSetOf(),
-    val bodyBytes: Long = 0
+    val bodyBytes: Long = 0,
+    val among: PersistentSet<TargetId> = persistentSetOf()
 )
 
 /** The outcome of choosing a target. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
@@ -21,7 +21,8 @@
     val moment = Moment(now, random.nextDouble())
     val all = byService[request.service] ?: return RouteChoice.NoTarget
     val search = Search(this, request, scoreContext(request, policy, now), moment)
-    val best = search.best(candidates(request, all, policy, random))
+    val best = search.best(request.among.toList())
+        ?: search.best(candidates(request, all, policy, random))
         ?: search.best(all)
         ?: search.leastFailing(all)
         ?: return RouteChoice.NoTarget
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
@@ -1,12 +1,14 @@
 package org.wisteriahinge.core.survey
 
 import java.time.Instant
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.call.CallInProgress
 import org.wisteriahinge.core.call.CallStage
 import org.wisteriahinge.core.call.CallsDecision
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.StageOutcome
+import org.wisteriahinge.core.call.refuse
 import org.wisteriahinge.core.call.resumeAfter
 import org.wisteriahinge.core.call.routeRequest
 import org.wisteriahinge.core.call.sendProbe
@@ -25,24 +27,53 @@
 internal fun CallsState.enterSurvey(call: CallInProgress, now: Instant): StageOutcome =
     when (val policy = surveys.policy) {
         SurveyPolicy.Off -> StageOutcome.Passed(CallsDecision(this))
-        is SurveyPolicy.BeforeEach -> survey(call, policy, now)
+        is SurveyPolicy.BeforeEach -> firstRound(call, policy, now)
     }
 
-private fun CallsState.survey(
+private fun CallsState.firstRound(
     call: CallInProgress,
     policy: SurveyPolicy.BeforeEach,
     now: Instant
 ): StageOutcome {
     val candidates = routing.ranked(routeRequest(call, now), policy.targets, now)
     val stale = candidates.filterNot { it.isFresh(policy, now) }
-    if (stale.isEmpty()) return StageOutcome.Passed(CallsDecision(this))
-    val survey = Survey(stale.map { it.target.id }.toPersistentSet(), now + policy.waitUpTo)
-    val opened = copy(surveys = surveys.opened(call.request.callId, survey))
-    return StageOutcome.Suspended(
-        stale.fold(CallsDecision(opened)) { decision, view ->
-            decision.then { it.ask(view, policy, now) }
+    val asked = candidates.map { it.target.id }.toPersistentSet()
+    if (stale.isEmpty()) return judgedByFresh(call, asked, now)
+    return StageOutcome.Suspended(ask(call, stale, asked, SurveyRound.First, policy, now))
+}
+
+/** Without a report to wait for, a call is sent on or refused at once. */
+private fun CallsState.judgedByFresh(
+    call: CallInProgress,
+    asked: PersistentSet<TargetId>,
+    now: Instant
+): StageOutcome {
+    val decision = CallsDecision(this)
+    return when (val verdict = verdict(call, asked, now)) {
+        is SurveyVerdict.Room -> StageOutcome.Passed(CallsDecision(withRoom(call, verdict)))
+        SurveyVerdict.Unknown -> StageOutcome.Passed(decision)
+        SurveyVerdict.Full -> {
+            val others = askOthers(call, asked, now)
+            others?.let { StageOutcome.Suspended(it) }
+                ?: StageOutcome.Refused(decision, fullRefusal(call))
         }
-    )
+    }
+}
+
+private fun CallsState.ask(
+    call: CallInProgress,
+    stale: List<TargetView>,
+    asked: PersistentSet<TargetId>,
+    round: SurveyRound,
+    policy: SurveyPolicy.BeforeEach,
+    now: Instant
+): CallsDecision {
+    val awaiting = stale.map { it.target.id }.toPersistentSet()
+    val survey = Survey(awaiting, now + policy.waitUpTo, asked, round)
+    val opened = copy(surveys = surveys.opened(call.request.callId, survey))
+    return stale.fold(CallsDecision(opened)) { decision, view ->
+        decision.then { it.ask(view, policy, now) }
+    }
 }
 
 private fun TargetView.isFresh(policy: SurveyPolicy.BeforeEach, now: Instant): Boolean {
@@ -72,7 +103,7 @@
         val rest = survey.copy(awaiting = survey.awaiting.remove(target))
         decision.then {
             if (good || rest.awaiting.isEmpty()) {
-                it.endSurvey(callId, now)
+                it.endRound(callId, rest, now)
             } else {
                 CallsDecision(it.copy(surveys = it.surveys.opened(callId, rest)))
             }
@@ -84,18 +115,49 @@
     inFlight < slots &&
     (pacePercent ?: USUAL_PACE_PERCENT) <= GOOD_PACE_PERCENT
 
-/** Sends on the calls whose wait is over; the targets that did not answer count as silent. */
+/** Ends the rounds whose wait is over; the targets that did not answer count as silent. */
 internal fun CallsState.endDueSurveys(now: Instant): CallsDecision = surveys.open
     .filterValues { it.until <= now }
     .entries.sortedBy { it.key.value }
     .fold(CallsDecision(this)) { decision, (callId, survey) ->
         decision
             .update { it.copy(routing = it.routing.silent(survey.awaiting, now)) }
-            .then { it.endSurvey(callId, now) }
+            .then { it.endRound(callId, survey, now) }
+    }
+
+/** Sends the call on, asks more targets, or refuses it. */
+private fun CallsState.endRound(callId: CallId, survey: Survey, now: Instant): CallsDecision {
+    val closed = copy(surveys = surveys.closed(callId))
+    val call = calls[callId] ?: return CallsDecision(closed)
+    val more = when (survey.round) {
+        SurveyRound.First -> closed.askOthers(call, survey.asked, now)
+        SurveyRound.Second -> null
+    }
+    return when (val verdict = closed.verdict(call, survey.asked, now)) {
+        is SurveyVerdict.Room ->
+            closed.withRoom(call, verdict).resumeAfter(CallStage.Survey, callId, now)
+        SurveyVerdict.Unknown -> more ?: closed.resumeAfter(CallStage.Survey, callId, now)
+        SurveyVerdict.Full -> more ?: closed.refuse(callId, closed.fullRefusal(call), now)
     }
+}
+
+private fun CallsState.withRoom(call: CallInProgress, verdict: SurveyVerdict.Room): CallsState =
+    withCall(call.copy(roomAt = verdict.at))
 
-private fun CallsState.endSurvey(callId: CallId, now: Instant): CallsDecision =
-    copy(surveys = surveys.closed(callId)).resumeAfter(CallStage.Survey, callId, now)
+/** The second round of a survey; null when there is no other target to ask. */
+private fun CallsState.askOthers(
+    call: CallInProgress,
+    asked: PersistentSet<TargetId>,
+    now: Instant
+): CallsDecision? = when (val policy = surveys.policy) {
+    SurveyPolicy.Off -> null
+    is SurveyPolicy.BeforeEach -> {
+        val request = routeRequest(call, now).let { it.copy(exclude = it.exclude.addAll(asked)) }
+        val others = routing.ranked(request, policy.moreTargets, now)
+        val all = asked.addAll(others.map { it.target.id })
+        if (others.isEmpty()) null else ask(call, others, all, SurveyRound.Second, policy, now)
+    }
+}
 
 /** A call that ends while it waits needs no report any more. */
 internal fun CallsState.leaveSurvey(call: CallInProgress): CallsDecision =
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
@@ -14,20 +14,39 @@
     public data object Off : SurveyPolicy
 
     /**
-     * The best [targets] are asked unless they reported within [freshFor].
+     * The best [targets] are asked unless they reported within [freshFor]. When none of them has
+     * room, [moreTargets] others are asked; when these have none either, the request is refused.
      *
      * The request waits for the reports at most [waitUpTo], which bounds what a target that does
      * not answer can cost.
      */
     public data class BeforeEach(
         val targets: Int = 3,
+        val moreTargets: Int = 4,
         val freshFor: Duration = Duration.ofMillis(20),
         val waitUpTo: Duration = Duration.ofMillis(20)
     ) : SurveyPolicy
 }
 
-/** A call that waits for the reports of [awaiting], at most until [until]. */
-public data class Survey(val awaiting: PersistentSet<TargetId>, val until: Instant)
+/** How many targets a survey has asked. */
+public sealed interface SurveyRound {
+    /** The best ones. */
+    public data object First : SurveyRound
+
+    /** More of them, because those asked first have no room. */
+    public data object Second : SurveyRound
+}
+
+/**
+ * A call that waits for the reports of [awaiting], at most until [until]; [asked] are all targets
+ * that were asked for it.
+ */
+public data class Survey(
+    val awaiting: PersistentSet<TargetId>,
+    val until: Instant,
+    val asked: PersistentSet<TargetId>,
+    val round: SurveyRound = SurveyRound.First
+)
 
 /** The surveys in progress. [askedAt] are the targets whose report is on its way. */
 public data class SurveysState(
--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -16,7 +16,7 @@
     val minPeriod: Duration,
     val waitUpTo: Duration,
     val firstBackOff: Duration = Duration.ofMillis(150),
-    val lastBackOff: Duration = Duration.ofMillis(1_200)
+    val lastBackOff: Duration = Duration.ofMillis(500)
 )
 
 /** The outcome of one read of a topic; [startedAt] is when it began. */
@@ -55,8 +55,8 @@
     /** The topic cannot be read at the moment. */
     public data object Lost : WatchNews<Nothing>
 
-    /** The topic can be read again, or for the first time. */
-    public data object Regained : WatchNews<Nothing>
+    /** The topic can be read, again where a read that began at [lastFailureAt] had failed. */
+    public data class Regained(val lastFailureAt: Instant?) : WatchNews<Nothing>
 }
 
 /** The next read. */
@@ -78,13 +78,18 @@
     public data object Down : WatchLink
 }
 
-/** How far a topic was read, and when it is read next. */
+/**
+ * How far a topic was read, and when it is read next.
+ *
+ * [failedAt] is when the last read began that failed.
+ */
 public data class WatchState(
     val pace: WatchPace,
     val seed: Long,
     val phase: WatchPhase = watchChart.initial,
     val nextOffset: Long = 0,
     val failures: Int = 0,
+    val failedAt: Instant? = null,
     val link: WatchLink = WatchLink.Unknown,
     val nextReadAt: Instant = Instant.EPOCH
 ) {
@@ -102,13 +107,22 @@
             phase = step.state,
             nextOffset = event.offsetAfter(),
             failures = if (event is WatchEvent.Failed) failures + 1 else 0,
-            nextReadAt = event.startedAt + pace.minPeriod
+            failedAt = if (event is WatchEvent.Failed) event.startedAt else failedAt,
+            nextReadAt = event.nextReadAt(now)
         )
         return step.effects.fold(WatchDecision(read, persistentListOf())) { decision, action ->
             decision.perform(action, event, now)
         }
     }
 
+    // What is to be read instead of expired records is read at once.
+    private fun WatchEvent<*>.nextReadAt(now: Instant): Instant = when (this) {
+        is WatchEvent.Expired -> now
+        is WatchEvent.NewestRead,
+        is WatchEvent.ChangesRead,
+        is WatchEvent.Failed -> startedAt + pace.minPeriod
+    }
+
     private fun WatchEvent<*>.offsetAfter(): Long = when (this) {
         is WatchEvent.NewestRead -> this.nextOffset
         is WatchEvent.ChangesRead -> this.nextOffset
@@ -123,7 +137,7 @@
         WatchAction.PublishNewest -> tell(WatchNews.Newest(event.records()))
         WatchAction.PublishChanges -> tell(WatchNews.Changes(event.records()))
         WatchAction.AnnounceLost -> linked(WatchLink.Down, WatchNews.Lost)
-        WatchAction.AnnounceRegained -> linked(WatchLink.Up, WatchNews.Regained)
+        WatchAction.AnnounceRegained -> linked(WatchLink.Up, WatchNews.Regained(state.failedAt))
         WatchAction.BackOff ->
             copy(state = state.copy(nextReadAt = maxOf(state.nextReadAt, now + state.backOff())))
     }
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesTest.kt
@@ -249,6 +249,46 @@
         expectThat(player.forwarded.single().target.id).isEqualTo(asked[2])
     }
 
+    @Test
+    fun `a call is refused early when no target has room`() {
+        val player = player(survey = SurveyPolicy.BeforeEach(targets = 2, moreTargets = 2))
+        player.arriveOpen(request(1))
+        player.now = start.plusMillis(1)
+        repeat(2) {
+            player.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }.forEach {
+                player.play(CallEvent.LoadReported(it, report(player.now, inFlight = 6)))
+            }
+        }
+        val refusal = player.refusals.single()
+        expectThat(refusal.reason).isEqualTo(RefusalReason.Overloaded)
+        expectThat(refusal.execution).isEqualTo(Execution.NotRun)
+        expectThat(refusal.retryAfter).isNotNull()
+    }
+
+    @Test
+    fun `a call goes to a target with room that only the second round finds`() {
+        val player = player(survey = SurveyPolicy.BeforeEach(targets = 2, moreTargets = 2))
+        player.arriveOpen(request(1))
+        player.now = start.plusMillis(1)
+        player.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }.forEach {
+            player.play(CallEvent.LoadReported(it, report(player.now, inFlight = 6)))
+        }
+        val others = player.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }
+        expectThat(others).hasSize(2)
+        player.play(CallEvent.LoadReported(others[0], report(player.now, inFlight = 1)))
+        expectThat(player.forwarded.single().target.id).isEqualTo(others[0])
+    }
+
+    @Test
+    fun `a slow request is not hedged at a target without a free slot`() {
+        val player = player(targets = 2).arriveOpen(request(1))
+        val busy = listOf("t1", "t2").first { it != player.forwarded.single().target.id.value }
+        player.play(CallEvent.LoadReported(TargetId(busy), report(start, inFlight = 3)))
+        player.now = start.plusMillis(130)
+        player.play(CallEvent.Ticked)
+        expectThat(player.forwarded).isEmpty()
+    }
+
     @Test
     fun `a survey ends in time when targets do not answer, and avoids them`() {
         val policy = SurveyPolicy.BeforeEach(targets = 2)
