Keep targets out of their slow range while others have room

Change: the first round of a survey looks for a target that stays within 0.8 of its slots, the second for any free slot; refused callers come back after 30 to 60 ms, or 250 to 500 ms while most calls find no room; removals count 2.2 s after the last failed read began.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -49,8 +49,8 @@
             return collector.result.get(limit.toMillis(), TimeUnit.MILLISECONDS)
         } catch (e: ExecutionException) {
             throw e.cause as? AttemptFailedException ?: e
-        } catch (e: TimeoutException) {
-            throw AttemptFailedException(AttemptFailure.TimedOut, e.message.orEmpty())
+        } catch (_: TimeoutException) {
+            throw AttemptFailedException(AttemptFailure.TimedOut, "no report in time")
         } finally {
             exchange.abandon()
         }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -65,7 +65,7 @@
         }
     }
 
-    /** Whether the target may have closed the connection already, after [REUSE_SHARE] of its time. */
+    /** Whether the target may have closed the connection already. */
     private fun Channel.isStale(): Boolean {
         val handler = targetHandler() ?: return true
         val limit = handler.keepAlive?.let {
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -72,11 +72,11 @@
     )
 
     private fun sources(): PlatformSources {
-        val own = settings.relay?.takeIf { it in settings.relays }
+        val own = settings.platform.relay?.takeIf { it in settings.platform.relays }
         return if (own == null) {
             PlatformSources.Following(settings, storeClient, clock)
         } else {
-            PlatformSources.Relaying(own, storeClient, settings.store, path.loop)
+            PlatformSources.Relaying(own, storeClient, settings.platform.store, path.loop)
         }
     }
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -76,8 +76,8 @@
             maxAttempts = MAX_ATTEMPTS,
             hedging = Hedging.AfterQuantile(HEDGE_QUANTILE),
             limit = RetryLimit.Window(
-                retryWindow,
-                retryRatio * RETRY_SHARE,
+                repeats.window,
+                repeats.ratio * RETRY_SHARE,
                 RETRY_EXTRA,
                 HEDGE_SHARE
             )
--- a/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
@@ -64,9 +64,12 @@
         override val targets = topic(PlatformTopics.TARGETS)
 
         private fun topic(name: String): KeyedTopic = RelayedTopic(
-            settings.relays.map { RelayTopic(name, it, client) }.toPersistentList(),
-            StoreTopic(name, settings.store, client),
-            first = Math.floorMod(settings.name.hashCode(), maxOf(1, settings.relays.size)),
+            settings.platform.relays.map { RelayTopic(name, it, client) }.toPersistentList(),
+            StoreTopic(name, settings.platform.store, client),
+            first = Math.floorMod(
+                settings.name.hashCode(),
+                maxOf(1, settings.platform.relays.size)
+            ),
             clock
         )
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
@@ -36,9 +36,11 @@
         // Processes of different machines may have the same id.
         val seed = System.nanoTime() xor values[Settings.instanceName].hashCode().toLong()
         val settings = values.toFrontSettings(seed)
-        // The settings of a process are its command line, so that there is nothing to reload. Without
-        // a handler the signal would end the process.
-        Signal.handle(Signal("HUP")) { logger.info { "SIGHUP: settings take effect at a start" } }
+        // The settings are the command line, so that there is nothing to reload. Without a handler
+        // the signal would end the process.
+        Signal.handle(Signal("HUP")) {
+            logger.info { "SIGHUP: settings take effect at a start" }
+        }
         val instance = FrontInstance(settings, SteadyClock())
         return try {
             Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
@@ -6,6 +6,8 @@
 import org.wisteriahinge.app.ExitCode
 import org.wisteriahinge.app.FrontInstance
 import org.wisteriahinge.app.FrontSettings
+import org.wisteriahinge.app.PlatformAccess
+import org.wisteriahinge.app.RepeatBounds
 import org.wisteriahinge.core.ChartCatalog
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Zone
@@ -39,12 +41,9 @@
         zone = Zone("warm-up"),
         callers = ANY_PORT,
         ready = ANY_PORT,
-        store = NO_STORE,
-        relays = persistentListOf(NO_STORE),
-        relay = null,
+        platform = PlatformAccess(NO_STORE, relays = persistentListOf(NO_STORE)),
         grace = Duration.ofSeconds(1),
-        retryRatio = 0.0,
-        retryWindow = Duration.ofSeconds(10),
+        repeats = RepeatBounds(ratio = 0.0, window = Duration.ofSeconds(10)),
         defaultTimeout = Duration.ofSeconds(10),
         maxTimeout = Duration.ofSeconds(60),
         bodyMemoryBytes = 1_048_576,
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -3,6 +3,8 @@
 import java.time.Duration
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.app.FrontSettings
+import org.wisteriahinge.app.PlatformAccess
+import org.wisteriahinge.app.RepeatBounds
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Zone
 
@@ -12,13 +14,17 @@
     zone = Zone(get(Settings.zone)),
     callers = address(get(Settings.callerAddress)),
     ready = address(get(Settings.readyAddress)),
-    store = address(get(Settings.storeAddress)),
-    relays = get(Settings.relays).split(',').filter { it.isNotEmpty() }.map(::address)
-        .toPersistentList(),
-    relay = get(Settings.relayAddress).takeIf { it.isNotEmpty() }?.let(::address),
+    platform = PlatformAccess(
+        store = address(get(Settings.storeAddress)),
+        relays = get(Settings.relays).split(',').filter { it.isNotEmpty() }.map(::address)
+            .toPersistentList(),
+        relay = get(Settings.relayAddress).takeIf { it.isNotEmpty() }?.let(::address)
+    ),
     grace = seconds(Settings.graceSeconds),
-    retryRatio = get(Settings.retryRatio).toDouble(),
-    retryWindow = seconds(Settings.retryWindowSeconds),
+    repeats = RepeatBounds(
+        ratio = get(Settings.retryRatio).toDouble(),
+        window = seconds(Settings.retryWindowSeconds)
+    ),
     defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
     bodyMemoryBytes = long(Settings.bodyMemoryBytes),
--- a/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/admission/AdmissionStage.kt
@@ -54,11 +54,10 @@
 }
 
 /** Surveys know the queues at the targets, which the limit of an instance only estimates. */
-private fun CallsState.isAdmittedBySurvey(call: CallInProgress): Boolean =
-    when (surveys.policy) {
-        SurveyPolicy.Off -> false
-        is SurveyPolicy.BeforeEach -> call.caller.isOpen
-    }
+private fun CallsState.isAdmittedBySurvey(call: CallInProgress): Boolean = when (surveys.policy) {
+    SurveyPolicy.Off -> false
+    is SurveyPolicy.BeforeEach -> call.caller.isOpen
+}
 
 /** Gives back the place of a call that ended, or takes it out of its queue. */
 internal fun CallsState.leaveAdmission(
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -195,19 +195,20 @@
         Refusal(RefusalReason.TargetFailed, Execution.MayHaveRun)
 }
 
-private fun CallInProgress.refusalAfter(cause: RetryCause, retryAfter: Duration): Refusal = when (cause) {
-    RetryCause.ErrorAnswer -> Refusal(RefusalReason.TargetFailed, execution())
-    is RetryCause.Failure -> when (cause.failure) {
-        AttemptFailure.TimedOut -> Refusal(RefusalReason.AnswerTooSlow, execution())
-        AttemptFailure.ConnectFailed,
-        AttemptFailure.Shed,
-        AttemptFailure.TargetDraining,
-        AttemptFailure.WrongTarget,
-        AttemptFailure.NotSent
-        -> notTaken(retryAfter)
-        AttemptFailure.Disconnected,
-        AttemptFailure.Truncated,
-        AttemptFailure.InvalidAnswer
-        -> Refusal(RefusalReason.TargetFailed, execution())
+private fun CallInProgress.refusalAfter(cause: RetryCause, retryAfter: Duration): Refusal =
+    when (cause) {
+        RetryCause.ErrorAnswer -> Refusal(RefusalReason.TargetFailed, execution())
+        is RetryCause.Failure -> when (cause.failure) {
+            AttemptFailure.TimedOut -> Refusal(RefusalReason.AnswerTooSlow, execution())
+            AttemptFailure.ConnectFailed,
+            AttemptFailure.Shed,
+            AttemptFailure.TargetDraining,
+            AttemptFailure.WrongTarget,
+            AttemptFailure.NotSent
+            -> notTaken(retryAfter)
+            AttemptFailure.Disconnected,
+            AttemptFailure.Truncated,
+            AttemptFailure.InvalidAnswer
+            -> Refusal(RefusalReason.TargetFailed, execution())
+        }
     }
-}
--- a/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
@@ -16,7 +16,7 @@
  * Entries expire while the registry is away, and targets that live write them again within two
  * seconds of its return. An instance that alone was cut off must heed removals after 3 s.
  */
-private val REENTRY_TIME: Duration = Duration.ofMillis(2_800)
+private val REENTRY_TIME: Duration = Duration.ofMillis(2_200)
 
 /** What is known of one target. It is used until [lapsesAt] although its entry was removed. */
 public data class KnownTarget(
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
@@ -42,21 +42,19 @@
     return StageOutcome.Suspended(ask(call, stale, asked, SurveyRound.First, policy, now))
 }
 
-/** Without a report to wait for, a call is sent on or refused at once. */
+/** Without a report to wait for, a call is sent on or refused at once, or others are asked. */
 private fun CallsState.judgedByFresh(
     call: CallInProgress,
     asked: PersistentSet<TargetId>,
     now: Instant
 ): StageOutcome {
-    val decision = CallsDecision(this)
-    return when (val verdict = verdict(call, asked, now)) {
+    val others = askOthers(call, asked, now)
+    val round = if (others == null) SurveyRound.Second else SurveyRound.First
+    return when (val verdict = verdict(call, asked, round, now)) {
         is SurveyVerdict.Room -> StageOutcome.Passed(CallsDecision(withRoom(call, verdict)))
-        SurveyVerdict.Unknown -> StageOutcome.Passed(decision)
-        SurveyVerdict.Full -> {
-            val others = askOthers(call, asked, now)
-            others?.let { StageOutcome.Suspended(it) }
-                ?: StageOutcome.Refused(decision, fullRefusal(call))
-        }
+        SurveyVerdict.Unknown -> StageOutcome.Passed(CallsDecision(this))
+        SurveyVerdict.Full -> others?.let { StageOutcome.Suspended(it) }
+            ?: StageOutcome.Refused(CallsDecision(judged(call, full = true)), fullRefusal(call))
     }
 }
 
@@ -133,16 +131,22 @@
         SurveyRound.First -> closed.askOthers(call, survey.asked, now)
         SurveyRound.Second -> null
     }
-    return when (val verdict = closed.verdict(call, survey.asked, now)) {
+    val round = if (more == null) SurveyRound.Second else SurveyRound.First
+    return when (val verdict = closed.verdict(call, survey.asked, round, now)) {
         is SurveyVerdict.Room ->
             closed.withRoom(call, verdict).resumeAfter(CallStage.Survey, callId, now)
         SurveyVerdict.Unknown -> more ?: closed.resumeAfter(CallStage.Survey, callId, now)
-        SurveyVerdict.Full -> more ?: closed.refuse(callId, closed.fullRefusal(call), now)
+        SurveyVerdict.Full -> more ?: closed.judged(call, full = true).let {
+            it.refuse(callId, it.fullRefusal(call), now)
+        }
     }
 }
 
 private fun CallsState.withRoom(call: CallInProgress, verdict: SurveyVerdict.Room): CallsState =
-    withCall(call.copy(roomAt = verdict.at))
+    judged(call, full = false).withCall(call.copy(roomAt = verdict.at))
+
+private fun CallsState.judged(call: CallInProgress, full: Boolean): CallsState =
+    copy(surveys = surveys.judged(call.matched.service.id, full))
 
 /** The second round of a survey; null when there is no other target to ask. */
 private fun CallsState.askOthers(
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyVerdict.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyVerdict.kt
@@ -14,14 +14,20 @@
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.routing.TargetView
 
-/** Requests that may wait at a target for each of its slots; a longer queue misses objectives. */
-private const val QUEUE_PER_SLOT = 1.0 / 3
+/** Share of its slots up to which a target works at its usual pace. */
+private const val COMFORTABLE_SHARE = 0.8
 
 /** A report older than this says nothing about a queue now. */
 private val REPORT_COUNTS: Duration = Duration.ofMillis(100)
 
-/** Callers that are refused come back between this delay and twice as late, not all at once. */
-private const val RETRY_AFTER_MILLIS = 250L
+/** A caller that comes back after this delay or twice of it can still be answered in time. */
+private const val SOON_MILLIS = 30L
+
+/** While most calls find no room, callers are to come back when the peak has moved on. */
+private const val LATER_MILLIS = 250L
+
+/** Share of calls without room from which a peak is taken to last. */
+private const val LASTING_SHARE = 0.5
 
 /** What the reports of the targets that were asked say about room for a call. */
 internal sealed interface SurveyVerdict {
@@ -39,11 +45,12 @@
 internal fun CallsState.verdict(
     call: CallInProgress,
     asked: Collection<TargetId>,
+    round: SurveyRound,
     now: Instant
 ): SurveyVerdict {
     val views = asked.mapNotNull { routing.targets[it] }
     val known = views.filter { it.reportCounts(now) }
-    val roomy = known.filter { it.hasRoom() }.map { it.target.id }.toPersistentSet()
+    val roomy = known.filter { it.hasRoom(round) }.map { it.target.id }.toPersistentSet()
     return when {
         call.matched.operation.bounds.objective == null -> SurveyVerdict.Room(persistentSetOf())
         views.all { it.load == null } -> SurveyVerdict.Room(persistentSetOf())
@@ -56,15 +63,21 @@
 private fun TargetView.reportCounts(now: Instant): Boolean =
     load?.let { it.observedAt + REPORT_COUNTS > now } == true
 
-private fun TargetView.hasRoom(): Boolean {
+/** Targets slow down when they are nearly full; that is accepted when no other has room. */
+private fun TargetView.hasRoom(round: SurveyRound): Boolean {
     val report = load ?: return true
     val busy = maxOf(report.inFlight, inFlight)
-    return busy < report.slots * (1 + QUEUE_PER_SLOT)
+    return when (round) {
+        SurveyRound.First -> busy == 0 || busy + 1 <= report.slots * COMFORTABLE_SHARE
+        SurveyRound.Second -> busy < report.slots
+    }
 }
 
-/** Tells the caller to come back when the peak may have moved on. */
+/** Tells the caller to come back, soon where a place may become free in time for it. */
 internal fun CallsState.fullRefusal(call: CallInProgress): Refusal {
     val draw = SplittableRandom(routing.seed xor call.request.callId.value)
-    val delay = Duration.ofMillis(RETRY_AFTER_MILLIS + draw.nextLong(RETRY_AFTER_MILLIS))
+    val lasting = surveys.fullShare(call.matched.service.id) > LASTING_SHARE
+    val least = if (lasting) LATER_MILLIS else SOON_MILLIS
+    val delay = Duration.ofMillis(least + draw.nextLong(least))
     return Refusal(RefusalReason.Overloaded, Execution.NotRun, delay)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 
 /** Whether targets are asked for their load right before a request is sent to one of them. */
@@ -28,6 +29,9 @@
     ) : SurveyPolicy
 }
 
+/** Weight of the newest call in the share of calls that found no room. */
+private const val FULL_SHARE_WEIGHT = 0.1
+
 /** How many targets a survey has asked. */
 public sealed interface SurveyRound {
     /** The best ones. */
@@ -48,15 +52,32 @@
     val round: SurveyRound = SurveyRound.First
 )
 
-/** The surveys in progress. [askedAt] are the targets whose report is on its way. */
+/**
+ * The surveys in progress.
+ *
+ * [askedAt] are the targets whose report is on its way. [fullShares] are the shares of recent calls
+ * of each service that found no room.
+ */
 public data class SurveysState(
     val policy: SurveyPolicy = SurveyPolicy.Off,
     val open: PersistentMap<CallId, Survey> = persistentHashMapOf(),
-    val askedAt: PersistentMap<TargetId, Instant> = persistentHashMapOf()
+    val askedAt: PersistentMap<TargetId, Instant> = persistentHashMapOf(),
+    val fullShares: PersistentMap<ServiceId, Double> = persistentHashMapOf()
 ) {
     /** When the first survey stops waiting; null when none is open. */
     public val firstDue: Instant? get() = open.values.minOfOrNull { it.until }
 
+    /** The share of recent calls of [service] that found no room. */
+    internal fun fullShare(service: ServiceId): Double = fullShares[service] ?: 0.0
+
+    /** A call of [service] was sent on, or refused because all targets are [full]. */
+    internal fun judged(service: ServiceId, full: Boolean): SurveysState {
+        val sample = if (full) 1.0 else 0.0
+        val before = fullShare(service)
+        val share = before + FULL_SHARE_WEIGHT * (sample - before)
+        return copy(fullShares = fullShares.put(service, share))
+    }
+
     internal fun opened(callId: CallId, survey: Survey): SurveysState =
         copy(open = open.put(callId, survey))
 
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicMirror.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicMirror.kt
@@ -26,7 +26,9 @@
     val isFollowing: Boolean = false
 ) {
     internal fun replaced(read: TopicRecords): MirroredRecords = MirroredRecords(
-        newest = read.records.fold(persistentHashMapOf()) { all, it -> all.put(it.key, it) },
+        newest = read.records.fold(persistentHashMapOf()) { all, record ->
+            all.put(record.key, record)
+        },
         firstOffset = read.nextOffset,
         nextOffset = read.nextOffset,
         isFollowing = true
