--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
@@ -87,11 +87,13 @@
         override fun initChannel(channel: Channel) {
             connections.add(channel)
             val pace = HeadTimeoutHandler(::bounds)
+            val folds = FoldedHeaderHandler()
             val newCallId = { services.gateway.nextCallId().toString() }
             channel.pipeline().addLast(
                 pace,
+                folds,
                 codec(),
-                FramingHandler(pace, newCallId, services::countRefused),
+                FramingHandler(pace, folds, newCallId, services::countRefused),
                 CallerConnection(services)
             )
         }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/FramingHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/FramingHandler.kt
@@ -30,6 +30,7 @@
  */
 internal class FramingHandler(
     private val pace: HeadTimeoutHandler,
+    private val folds: FoldedHeaderHandler,
     private val newCallId: () -> String,
     private val refused: (RefusalReason) -> Unit
 ) : ChannelDuplexHandler() {
@@ -43,7 +44,7 @@
                 ReferenceCountUtil.release(message)
                 context.refuse(reasonOf(message.decoderResult().cause()))
             }
-            message is HttpRequest && message.isAmbiguous() -> {
+            message is HttpRequest && !message.headers().areUnambiguous() -> {
                 ReferenceCountUtil.release(message)
                 context.refuse(RefusalReason.MalformedRequest)
             }
@@ -70,25 +71,19 @@
             if (closeAfterAnswer) promise.addListener(ChannelFutureListener.CLOSE)
             // Only once it was written, because an idle connection may be closed at once.
             promise.addListener { if (unanswered == 0) pace.awaitRequest() }
+            folds.awaitRequest()
         }
         context.write(message, promise)
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event == HeadTimedOut) {
-            context.refuse(RefusalReason.SlowSender)
-        } else {
-            context.fireUserEventTriggered(event)
+        when (event) {
+            HeadTimedOut -> context.refuse(RefusalReason.SlowSender)
+            FoldedHeader -> context.refuse(RefusalReason.MalformedRequest)
+            else -> context.fireUserEventTriggered(event)
         }
     }
 
-    private fun HttpRequest.isAmbiguous(): Boolean =
-        !headers().areUnambiguous() || headers().any { it.isFolded() }
-
-    // A line that continues the header before it was joined to it by the decoder.
-    private fun Map.Entry<String, String>.isFolded(): Boolean =
-        value.any { it == '\n' || it == '\r' }
-
     private fun HttpHeaders.areUnambiguous(): Boolean {
         val codings = getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val isKnownCoding = codings.isEmpty() ||
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RefusalOnTheWireTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RefusalOnTheWireTest.kt
@@ -58,6 +58,12 @@
             400,
             "malformed_request"
         ),
+        arguments(
+            "folded header",
+            post("X-Long: a\r\n b\r\nContent-Length: 1\r\n", "a"),
+            400,
+            "malformed_request"
+        ),
         arguments(
             "different lengths",
             post("Content-Length: 4\r\nContent-Length: 5\r\n", "aaaa"),
