Do not wait for records at a store that has just failed

Change: reads after a failure do not wait for records; the return of the targets' topic after a failure restarts the read of the operator's topic as well. Test: a read after a failure does not wait for records (fails without the change).

--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -102,7 +102,11 @@
                 // Both topics are read over connections that may have died together.
                 configurationWatch.readAgain()
             }
-            is WatchNews.Regained -> logger.info { "reads the targets' topic" }
+            is WatchNews.Regained -> {
+                logger.info { "reads the targets' topic" }
+                // A read that began before the store's return may never be answered.
+                if (news.lastFailureAt != null) configurationWatch.readAgain()
+            }
         }
         directory = directory.decide(news, clock.instant())
         tell(directory.listing())
--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -64,8 +64,8 @@
     /** Reads the newest record of each key. */
     public data object Newest : WatchRead
 
-    /** Reads what was added at [from] or later. */
-    public data class Changes(val from: Long) : WatchRead
+    /** Reads what was added at [from] or later, waiting up to [waitUpTo] for the first record. */
+    public data class Changes(val from: Long, val waitUpTo: Duration) : WatchRead
 }
 
 /** The next state and what it tells, in order. */
@@ -97,7 +97,9 @@
     public val nextRead: WatchRead
         get() = when (phase) {
             WatchPhase.Unread -> WatchRead.Newest
-            WatchPhase.Following, WatchPhase.Disconnected -> WatchRead.Changes(nextOffset)
+            WatchPhase.Following -> WatchRead.Changes(nextOffset, pace.waitUpTo)
+            // A store that is down may take a read and never answer it, also after its return.
+            WatchPhase.Disconnected -> WatchRead.Changes(nextOffset, Duration.ZERO)
         }
 
     /** Decides on [event] at [now]. */
--- a/core/src/test/kotlin/org/wisteriahinge/core/watch/WatchStateTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/watch/WatchStateTest.kt
@@ -14,7 +14,8 @@
 /** Guards against a topic that is read too often, from the wrong place, or not at all any more. */
 class WatchStateTest {
     private val start = Instant.parse("2026-01-01T00:00:00Z")
-    private val pace = WatchPace(Duration.ofMillis(900), Duration.ZERO)
+    private val wait = Duration.ofSeconds(25)
+    private val pace = WatchPace(Duration.ofMillis(900), wait)
     private val fresh = WatchState(pace, seed = 1)
 
     private fun newest(at: Instant) = WatchEvent.NewestRead(at, persistentListOf("a"), 7)
@@ -27,10 +28,10 @@
             WatchNews.Regained(null),
             WatchNews.Newest(persistentListOf("a"))
         )
-        expectThat(first.state.nextRead).isEqualTo(WatchRead.Changes(7))
+        expectThat(first.state.nextRead).isEqualTo(WatchRead.Changes(7, wait))
         val second = first.state.decide(changes(start), start)
         expectThat(second.news).containsExactly(WatchNews.Changes(persistentListOf("b")))
-        expectThat(second.state.nextRead).isEqualTo(WatchRead.Changes(9))
+        expectThat(second.state.nextRead).isEqualTo(WatchRead.Changes(9, wait))
     }
 
     @Test
@@ -55,11 +56,20 @@
         val still = lost.state.decide<String>(WatchEvent.Failed(start), start)
         expectThat(lost.news).containsExactly(WatchNews.Lost)
         expectThat(still.news).isEmpty()
-        expectThat(still.state.nextRead).isEqualTo(WatchRead.Changes(7))
+        expectThat(still.state.nextRead).isEqualTo(WatchRead.Changes(7, Duration.ZERO))
         expectThat(still.state.decide(changes(start), start).news)
             .containsExactly(WatchNews.Regained(start), WatchNews.Changes(persistentListOf("b")))
     }
 
+    @Test
+    fun `a read after a failure does not wait for records`() {
+        val lost = fresh.decide(newest(start), start).state
+            .decide<String>(WatchEvent.Failed(start), start).state
+        expectThat(lost.nextRead).isEqualTo(WatchRead.Changes(7, Duration.ZERO))
+        expectThat(lost.decide(changes(start), start).state.nextRead)
+            .isEqualTo(WatchRead.Changes(9, wait))
+    }
+
     @Test
     fun `failures back off up to a bound`() {
         val quick = WatchState(WatchPace(Duration.ZERO, Duration.ZERO), seed = 1)
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
@@ -83,7 +83,7 @@
             WatchEvent.NewestRead(startedAt, records, next)
         }
         is WatchRead.Changes ->
-            topic.changes(read.from, state.pace.waitUpTo).toEvent(startedAt) { records, next ->
+            topic.changes(read.from, read.waitUpTo).toEvent(startedAt) { records, next ->
                 WatchEvent.ChangesRead(startedAt, records, next)
             }
     }
