--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -23,9 +23,12 @@
 /** Each target writes its entry every second and a half; a drain must be known within two. */
 private val TARGETS_PACE = WatchPace(minPeriod = Duration.ofMillis(900), waitUpTo = Duration.ZERO)
 
-/** Changes of the configuration are rare, so that a read waits for the next one. */
+/**
+ * Changes of the configuration are rare, so that a read waits for the next one. A connection that
+ * falls silent during a read is found at its end, which must come within 3 s.
+ */
 private val CONFIGURATION_PACE =
-    WatchPace(minPeriod = Duration.ofMillis(50), waitUpTo = Duration.ofSeconds(25))
+    WatchPace(minPeriod = Duration.ofMillis(50), waitUpTo = Duration.ofSeconds(2))
 
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
