Explain in the log how calls ended that were not simply answered

Cause: a failed request could not be traced from its id: the log had no line on calls at the usual level, and counters do not name a request.

Change: a call in progress keeps its steps (attempts with what was known of their targets, failures, denied retries and hedges, surveys without room). At its end the decision emits Explain unless the first attempt answered it.

--- /dev/null
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CourseLog.kt
@@ -0,0 +1,89 @@
+package org.wisteriahinge.adapters.caller
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.time.Duration
+import java.time.Instant
+import org.wisteriahinge.core.call.CallCourse
+import org.wisteriahinge.core.call.CallEnd
+import org.wisteriahinge.core.call.CourseStep
+import org.wisteriahinge.core.call.KnownTarget
+import org.wisteriahinge.runtime.CourseSink
+
+private val logger = KotlinLogging.logger("org.wisteriahinge.calls")
+private const val MICROS_PER_MILLI = 1_000.0
+
+/** Writes one line of the log for each call that was not simply answered. */
+public class CourseLog(registry: PrometheusRegistry) : CourseSink {
+    private val lines = Counter.builder()
+        .name("wisteriahinge_call_lines_total")
+        .help("Lines of the log on calls, by whether they were written")
+        .labelNames("event")
+        .register(registry)
+    private val written = lines.labelValues("written")
+    private val leftOut = lines.labelValues("left_out")
+
+    override fun write(course: CallCourse) {
+        written.inc()
+        logger.atInfo {
+            message = course.end.message()
+            payload = course.fields()
+        }
+    }
+
+    override fun leftOut() {
+        leftOut.inc()
+    }
+}
+
+private fun CallEnd.message(): String = when (this) {
+    CallEnd.Answered -> "call answered"
+    is CallEnd.Refused -> "call refused"
+    is CallEnd.CallerGone -> "caller left"
+}
+
+// Queries may hold personal data and are left out.
+internal fun CallCourse.fields(): Map<String, Any?> = mapOf(
+    "request_id" to request.callerRequestId,
+    "call_id" to request.callId.value,
+    "method" to request.method,
+    "path" to request.path.substringBefore('?'),
+    "service" to service?.value,
+    "configuration" to revision.value
+) + end.fields() + mapOf(
+    "elapsed" to millis(startedAt(), endedAt),
+    "steps" to steps.joinToString("; ") { "at ${millis(startedAt(), it.at)} ${it.describe()}" }
+)
+
+private fun CallEnd.fields(): Map<String, Any?> = when (this) {
+    CallEnd.Answered -> emptyMap()
+    is CallEnd.Refused -> mapOf(
+        "reason" to refusal.reason.wireName,
+        "execution" to refusal.execution.toString(),
+        "retry_after_ms" to refusal.retryAfter?.toMillis()
+    )
+    is CallEnd.CallerGone -> mapOf("execution" to execution.toString())
+}
+
+private fun CallCourse.startedAt(): Instant =
+    request.arrivedAt ?: steps.firstOrNull()?.at ?: endedAt
+
+private fun millis(from: Instant, to: Instant): String =
+    "${Duration.between(from, to).toNanos() / MICROS_PER_MILLI.toLong() / MICROS_PER_MILLI} ms"
+
+private fun CourseStep.describe(): String = when (this) {
+    is CourseStep.Sent -> "attempt $number sent to ${target.describe(at)}"
+    is CourseStep.Failed -> "$target failed: ${failure.wireName}"
+    is CourseStep.ErrorAnswered -> "$target answered $status"
+    is CourseStep.NotRetried -> "not retried: ${denial.wireName}"
+    is CourseStep.NotHedged -> "not hedged: ${denial.wireName}"
+    is CourseStep.NoRoom -> "no room at ${asked.joinToString { it.describe(at) }}"
+}
+
+private fun KnownTarget.describe(at: Instant): String {
+    val known = report ?: return "$id ($own own, no report)"
+    val pace = known.pacePercent?.let { ", pace $it%" }.orEmpty()
+    val age = millis(known.observedAt, at)
+    return "$id ($own own, ${known.inFlight} of ${known.slots} in flight$pace, $age ago)"
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReadHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReadHead.kt
@@ -23,15 +23,16 @@
     /** The request with its [body]. */
     fun withBody(body: RequestBody): ForwardedCall {
         val fields = headers.toFields()
+        val echo = services.rules.echoOf(fields)
         return ForwardedCall(
-            callRequest(body),
+            callRequest(body, echo?.value),
             services.rules.forwarded(fields),
             body,
-            services.rules.echoOf(fields)
+            echo
         )
     }
 
-    private fun callRequest(body: RequestBody): CallRequest {
+    private fun callRequest(body: RequestBody, callerRequestId: String?): CallRequest {
         val settings = services.settings
         val authorization = headers[HttpHeaderNames.AUTHORIZATION]
         val timeout = minOf(head.timeout ?: settings.defaultTimeout, settings.maxTimeout)
@@ -49,7 +50,8 @@
             bodyBytes = body.lengthBytes,
             replayable = body !is RequestBody.Once,
             host = headers[HttpHeaderNames.HOST],
-            arrivedAt = arrivedAt
+            arrivedAt = arrivedAt,
+            callerRequestId = callerRequestId
         )
     }
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
@@ -15,6 +15,7 @@
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerParts
 import org.wisteriahinge.adapters.caller.CallerServerSettings
+import org.wisteriahinge.adapters.caller.CourseLog
 import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.metrics.CallMetrics
 import org.wisteriahinge.adapters.metrics.InstanceMetrics
@@ -24,6 +25,7 @@
 import org.wisteriahinge.core.model.CallerBounds
 import org.wisteriahinge.runtime.CallMessage
 import org.wisteriahinge.runtime.CallsDuty
+import org.wisteriahinge.runtime.CourseDuty
 import org.wisteriahinge.runtime.EffectSink
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
@@ -57,6 +59,7 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     val gateway = CallGateway(ring, MAX_CALLS)
+    private val courses = CourseDuty(clock, CourseLog(registry))
     private val duty = CallsDuty(ring, initial, ::perform, clock)
     private val process = InstanceMetrics(registry, gateway::callsInProgress)
     private val backend = BackendClient(settings.connections)
@@ -95,7 +98,11 @@
 
     fun closeIdleConnections() = server.closeIdle()
 
-    fun startDuty() = duty.start()
+    /** Starts the duties, which then take events. */
+    fun startDuties() {
+        courses.start()
+        duty.start()
+    }
 
     /**
      * Starts listening for callers and returns the port in use.
@@ -107,6 +114,7 @@
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
+            is CallEffect.Explain -> courses.explain(effect.course)
             is CallEffect.Probe -> prober.probe(effect.target, effect.path)
             is CallEffect.ForCall -> error("$effect is performed by the front end of its call")
             is CallEffect.Claim,
@@ -121,6 +129,7 @@
     override fun close() {
         server.close()
         duty.stop(STOP_TIMEOUT)
+        courses.stop(STOP_TIMEOUT)
         backend.close()
     }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -99,6 +99,7 @@
             is CallEffect.SummarizeQuarantine,
             is CallEffect.TellLoads -> Unit
             is CallEffect.Count,
+            is CallEffect.Explain,
             is CallEffect.Probe,
             is CallEffect.ForCall -> error("$effect is performed by the path of calls")
         }
@@ -129,7 +130,7 @@
      */
     public fun start() {
         lifecycle.start()
-        path.startDuty()
+        path.startDuties()
         topics.start()
         try {
             path.listen()
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -140,6 +140,7 @@
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
             is CallEffect.TellLoads -> network?.report(MembershipEvent.LoadsChanged(effect.loads))
             is CallEffect.Count,
+            is CallEffect.Explain,
             is CallEffect.Probe,
             is CallEffect.ForCall -> error("$effect is performed by the path of calls")
         }
@@ -212,7 +213,7 @@
      */
     public fun start(): InstancePorts {
         lifecycle.start()
-        path.startDuty()
+        path.startDuties()
         logDuty.start()
         configuration.start()
         once.start()
--- a/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
@@ -69,7 +69,7 @@
         val client = BackendClient(ConnectionLimits(perTarget = 2))
         try {
             targets.forEach { (_, target) -> target.start() }
-            path.startDuty()
+            path.startDuties()
             path.offerWaiting(CallEvent.Configured(configuration()))
             path.offerWaiting(
                 CallEvent.TargetsListed(
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -42,8 +42,7 @@
     // The world's routing neither probes nor shares loads between instances.
     is CallEffect.Probe, is CallEffect.TellLoads -> this
     is CallEffect.ReportQuarantine, is CallEffect.SummarizeQuarantine -> this
-    is CallEffect.Probe, is CallEffect.TellLoads -> this
-    is CallEffect.Finished, is CallEffect.Count -> this
+    is CallEffect.Finished, is CallEffect.Count, is CallEffect.Explain -> this
 }
 
 private fun World.told(copy: CopyRef, what: Told): World = copy(oracle = oracle.told(copy, what))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -156,7 +156,7 @@
                 schedule(at, SimEvent.ReachProbe(target, instance))
             }
             is CallEffect.TellLoads -> told = told.set(instance, effect.loads)
-            is CallEffect.Finished, is CallEffect.Count -> Unit
+            is CallEffect.Finished, is CallEffect.Count, is CallEffect.Explain -> Unit
         }
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
@@ -61,5 +61,7 @@
 private fun CallsState.countTruncated(context: AttemptContext): CallsDecision {
     val call = calls[context.callId] ?: return CallsDecision(this)
     val counter = CallCounter.Truncated(call.matched.service.id)
-    return CallsDecision(this).emit(CallEffect.Count(counter))
+    val target = context.attempt.target.id
+    val step = CourseStep.Failed(context.now, target, AttemptFailure.Truncated)
+    return CallsDecision(withCall(call.noted(step))).emit(CallEffect.Count(counter))
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -68,7 +68,7 @@
         ),
         attemptsStarted = attempt.number,
         tried = call.tried.add(choice.target.id)
-    )
+    ).noted(CourseStep.Sent(now, attempt.number, routing.known(choice.target.id)))
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
@@ -91,6 +91,7 @@
     val seen = copy(routing = routing.attemptResult(event.attemptId, result, now))
         .observeAnswerTime(call, inProgress, now)
         .observeLoad(call, event.load)
+        .noteErrorAnswer(event, inProgress, now)
     val cause = RetryCause.ErrorAnswer
     val rejected = isServerError(event.status) && seen.canReplaceAnswer(call, cause, now)
     val trigger = if (rejected) AttemptTrigger.Rejected else AttemptTrigger.Answered
@@ -99,6 +100,17 @@
         .then { it.stepAttempt(event.callId, event.attemptId, trigger, now, cause) }
 }
 
+private fun CallsState.noteErrorAnswer(
+    event: CallEvent.Answered,
+    inProgress: AttemptInProgress,
+    now: Instant
+): CallsState {
+    val call = calls[event.callId] ?: return this
+    if (!isServerError(event.status)) return this
+    val target = inProgress.attempt.target.id
+    return withCall(call.noted(CourseStep.ErrorAnswered(now, target, event.status)))
+}
+
 private fun CallsState.observeAnswerTime(
     call: CallInProgress,
     inProgress: AttemptInProgress,
@@ -137,7 +149,7 @@
     return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result, now)))
         .emit(CallEffect.Count(counted))
         .then { if (showsCrash(call, event)) it.crashed(call, now) else CallsDecision(it) }
-        .update { it.noteFailure(event) }
+        .update { it.noteFailure(event, now) }
         .update { if (event.failure.isShed()) it.observeShed(call) else it }
         .then {
             val cause = RetryCause.Failure(event.failure)
@@ -150,14 +162,15 @@
 private fun showsCrash(call: CallInProgress, event: CallEvent.AttemptFailed): Boolean =
     event.failure.isCrash() && !call.caller.isOpen
 
-private fun CallsState.noteFailure(event: CallEvent.AttemptFailed): CallsState {
+private fun CallsState.noteFailure(event: CallEvent.AttemptFailed, now: Instant): CallsState {
     val call = calls[event.callId] ?: return this
+    val target = call.attempts[event.attemptId]?.attempt?.target ?: return this
     val mayHaveRun = call.mayHaveRun || event.failure.execution != Execution.NotRun
     return withCall(
         call.copy(
             request = call.request.copy(replayable = event.replayable),
             mayHaveRun = mayHaveRun
-        )
+        ).noted(CourseStep.Failed(now, target.id, event.failure))
     )
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -138,7 +138,8 @@
         is RetryVerdict.Allowed -> withCall(noted).retry(noted, verdict, context.now)
         is RetryVerdict.Denied -> {
             val counter = CallCounter.RetryDenied(call.matched.service.id, verdict.denial)
-            CallsDecision(withCall(noted)).emit(CallEffect.Count(counter))
+            val denied = noted.noted(CourseStep.NotRetried(context.now, verdict.denial))
+            CallsDecision(withCall(denied)).emit(CallEffect.Count(counter))
                 .then {
                     val refusal = noted.refusalAfter(cause, it.retryDelay(context))
                     it.refuse(context.callId, refusal, context.now)
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCourse.kt
@@ -0,0 +1,57 @@
+package org.wisteriahinge.core.call
+
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RevisionNumber
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.routing.RoutingState
+
+/**
+ * How the call of [request] came to its [end], for the operators.
+ *
+ * [revision] is the configuration in force at the end. [service] is null when the call was refused
+ * before its service was known.
+ */
+public data class CallCourse(
+    val request: CallRequest,
+    val service: ServiceId?,
+    val revision: RevisionNumber,
+    val end: CallEnd,
+    val endedAt: Instant,
+    val steps: PersistentList<CourseStep>
+) {
+    /** Whether anything but the first attempt's answer decided the call. */
+    internal val isNotable: Boolean get() = end != CallEnd.Answered || steps.size > 1
+}
+
+internal fun CallInProgress.noted(step: CourseStep): CallInProgress = copy(steps = steps.add(step))
+
+internal fun RoutingState.known(id: TargetId): KnownTarget =
+    KnownTarget(id, targets[id]?.inFlight ?: 0, targets[id]?.load)
+
+internal fun RoutingState.known(ids: Collection<TargetId>): PersistentList<KnownTarget> =
+    ids.sortedBy { it.value }.map { known(it) }.toPersistentList()
+
+/** Explains the end of a call that had been admitted, if there is something to explain. */
+internal fun CallsState.explain(call: CallInProgress, end: CallEnd, now: Instant): CallsDecision {
+    val service = call.matched.service.id
+    val course = CallCourse(call.request, service, configuration.revision, end, now, call.steps)
+    val decision = CallsDecision(this)
+    return if (course.isNotable) decision.emit(CallEffect.Explain(course)) else decision
+}
+
+/** Refuses a call that was not admitted. */
+internal fun CallsState.refuseOnArrival(
+    request: CallRequest,
+    refusal: Refusal,
+    now: Instant
+): CallsDecision {
+    val end = CallEnd.Refused(refusal)
+    val steps = persistentListOf<CourseStep>()
+    val course = CallCourse(request, null, configuration.revision, end, now, steps)
+    return refuse(request.callId, refusal, now).emit(CallEffect.Explain(course))
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -80,6 +80,9 @@
     /** What the next heartbeats tell of targets; replaces what they told before. */
     public data class TellLoads(val loads: PersistentList<TargetLoad>) : CallEffect
 
+    /** Tell the operators how a call ended that took another course than one answered attempt. */
+    public data class Explain(val course: CallCourse) : CallEffect
+
     /** Add one to a metric. */
     public data class Count(val counter: CallCounter) : CallEffect
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEnd.kt
@@ -0,0 +1,16 @@
+package org.wisteriahinge.core.call
+
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+
+/** How a call ended. */
+public sealed interface CallEnd {
+    /** A target's answer was passed to the caller, whole or cut short. */
+    public data object Answered : CallEnd
+
+    /** The load balancer refused the call. */
+    public data class Refused(val refusal: Refusal) : CallEnd
+
+    /** The caller closed its connection. */
+    public data class CallerGone(val execution: Execution) : CallEnd
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -73,7 +73,7 @@
             .emit(CallEffect.Count(CallCounter.Hedged(service)))
             .then { it.forward(considered, choice, now) }
     }
-    return CallsDecision(withCall(considered))
+    return CallsDecision(withCall(considered.noted(CourseStep.NotHedged(now, denial))))
         .emit(CallEffect.Count(CallCounter.HedgeDenied(service, denial)))
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
@@ -15,7 +15,8 @@
  * [bodyBytes] is the declared length, null when the body is chunked. [replayable] says that the
  * front end holds the whole body and can send it again. [depth] counts the calls that led here.
  * [retriesAllowed] is false when an outer layer retries. [host] is the `Host` header. [arrivedAt]
- * is when the head arrived, null for the time of the first decision.
+ * is when the head arrived, null for the time of the first decision. [callerRequestId] is the id by
+ * which the caller names this request, if it sent one.
  */
 public data class CallRequest(
     val callId: CallId,
@@ -30,5 +31,6 @@
     val bodyBytes: Long?,
     val replayable: Boolean,
     val host: String? = null,
-    val arrivedAt: Instant? = null
+    val arrivedAt: Instant? = null,
+    val callerRequestId: String? = null
 )
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -56,15 +56,3 @@
     /** The call waits until the stage calls [resumeAfter] or [refuse] on a later event. */
     data class Suspended(override val decision: CallsDecision) : StageOutcome
 }
-
-/** How a call ended; stages give back what the call held. */
-internal sealed interface CallEnd {
-    /** A target's answer was passed to the caller, whole or cut short. */
-    data object Answered : CallEnd
-
-    /** The load balancer refused the call. */
-    data class Refused(val refusal: Refusal) : CallEnd
-
-    /** The caller closed its connection. */
-    data class CallerGone(val execution: Execution) : CallEnd
-}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -100,7 +100,7 @@
 private fun CallsState.arriveWithPlan(request: CallRequest, now: Instant): CallsDecision =
     configuration.check(request, now).mapBoth(
         success = { checked -> admit(request, checked, now) },
-        failure = { reason -> refuse(request.callId, reason.refusal(), now) }
+        failure = { reason -> refuseOnArrival(request, reason.refusal(), now) }
     )
 
 internal fun RefusalReason.refusal(): Refusal {
@@ -152,5 +152,7 @@
 
 private fun CallsState.endCall(callId: CallId, end: CallEnd, now: Instant): CallsDecision {
     val call = calls[callId] ?: return CallsDecision(this)
-    return copy(calls = calls.remove(callId)).leaveStages(call, end, now)
+    return copy(calls = calls.remove(callId))
+        .leaveStages(call, end, now)
+        .then { it.explain(call, end, now) }
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -1,9 +1,11 @@
 package org.wisteriahinge.core.call
 
 import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.admission.AdmissionState
 import org.wisteriahinge.core.limits.CallLimits
@@ -34,7 +36,7 @@
  * [mayHaveRun] is set once an ended attempt may have run. [waitingAt] is the stage that suspended
  * the call. [holdsPlace] is set while it counts against its plan's concurrent calls. [arrivals]
  * counts the ended attempts that reached their target. [roomAt] are the targets that reported room
- * in the call's survey.
+ * in the call's survey. [steps] explain its end to the operators.
  */
 public data class CallInProgress(
     val request: CallRequest,
@@ -49,7 +51,8 @@
     val hedgeConsidered: Boolean = false,
     val claim: CallClaim = CallClaim.None,
     val holdsPlace: Boolean = false,
-    val roomAt: PersistentSet<TargetId> = persistentSetOf()
+    val roomAt: PersistentSet<TargetId> = persistentSetOf(),
+    val steps: PersistentList<CourseStep> = persistentListOf()
 )
 
 /** All that the decisions on calls depend on. Owned by the `calls` duty.
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
@@ -53,8 +53,8 @@
         .next()
     val chosen = copy(splits = splits.put(route.id, turn.after))
     val service = configuration.entitlements.services[turn.backend.service]
-        ?: return chosen.refuse(
-            request.callId,
+        ?: return chosen.refuseOnArrival(
+            request,
             Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NO_TARGET),
             now
         )
@@ -65,7 +65,7 @@
     )
     return checkLimitsOfRequest(checked, bounded, now).mapBoth(
         success = { chosen.admit(bounded, it, now) },
-        failure = { chosen.refuse(request.callId, it.refusal(), now) }
+        failure = { chosen.refuseOnArrival(request, it.refusal(), now) }
     )
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
@@ -7,7 +7,10 @@
 import org.wisteriahinge.core.call.CallStage
 import org.wisteriahinge.core.call.CallsDecision
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.call.CourseStep
 import org.wisteriahinge.core.call.StageOutcome
+import org.wisteriahinge.core.call.known
+import org.wisteriahinge.core.call.noted
 import org.wisteriahinge.core.call.refuse
 import org.wisteriahinge.core.call.resumeAfter
 import org.wisteriahinge.core.call.routeRequest
@@ -54,7 +57,7 @@
         is SurveyVerdict.Room -> StageOutcome.Passed(CallsDecision(withRoom(call, verdict)))
         SurveyVerdict.Unknown -> StageOutcome.Passed(CallsDecision(this))
         SurveyVerdict.Full -> others?.let { StageOutcome.Suspended(it) }
-            ?: StageOutcome.Refused(CallsDecision(judged(call, full = true)), fullRefusal(call))
+            ?: StageOutcome.Refused(CallsDecision(foundFull(call, asked, now)), fullRefusal(call))
     }
 }
 
@@ -136,7 +139,7 @@
         is SurveyVerdict.Room ->
             closed.withRoom(call, verdict).resumeAfter(CallStage.Survey, callId, now)
         SurveyVerdict.Unknown -> more ?: closed.resumeAfter(CallStage.Survey, callId, now)
-        SurveyVerdict.Full -> more ?: closed.judged(call, full = true).let {
+        SurveyVerdict.Full -> more ?: closed.foundFull(call, survey.asked, now).let {
             it.refuse(callId, it.fullRefusal(call), now)
         }
     }
@@ -145,6 +148,13 @@
 private fun CallsState.withRoom(call: CallInProgress, verdict: SurveyVerdict.Room): CallsState =
     judged(call, full = false).withCall(call.copy(roomAt = verdict.at))
 
+private fun CallsState.foundFull(
+    call: CallInProgress,
+    asked: Collection<TargetId>,
+    now: Instant
+): CallsState = judged(call, full = true)
+    .withCall(call.noted(CourseStep.NoRoom(now, routing.known(asked))))
+
 private fun CallsState.judged(call: CallInProgress, full: Boolean): CallsState =
     copy(surveys = surveys.judged(call.matched.service.id, full))
 
