Relays pass on only entries that say something new

Cause: each target writes its entry every 1.5 s, and relays passed every record on.

Change: a mirror keeps what each key's record means for longer than until the next one, and passes on the records that mean something else. A follower that waits is answered by such a record, not by each read of the relay. Entries carry the time of their target's start, so that one that starts again under its id is passed on and is cold anew.

Not measured on the grown sites yet.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
@@ -56,7 +56,7 @@
 
     private fun newest(exchange: SmallExchange, records: MirroredRecords) {
         val answer = if (records.isFollowing) {
-            val page = encodePage(records.newest.values, records.nextOffset)
+            val page = encodePage(records.newest, records.nextOffset)
             SmallAnswer(HttpResponseStatus.OK, page)
         } else {
             SmallAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
@@ -100,7 +100,8 @@
             answer()
         }
 
-        fun isReady(): Boolean = records().let { !it.isFollowing || it.nextOffset > from }
+        fun isReady(): Boolean =
+            records().let { !it.isFollowing || it.since(from)?.isEmpty() != true }
 
         fun answer() {
             timer?.cancel(false)
--- a/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
@@ -11,8 +11,10 @@
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.platform.PlatformTopics
 import org.wisteriahinge.platform.StoreTopic
+import org.wisteriahinge.platform.lastingTarget
 import org.wisteriahinge.runtime.KeyedTopic
 import org.wisteriahinge.runtime.MirroredRecords
+import org.wisteriahinge.runtime.RecordMeaning
 import org.wisteriahinge.runtime.RelayedTopic
 import org.wisteriahinge.runtime.TopicMirror
 
@@ -31,8 +33,12 @@
     /** The instance reads the store and serves what it read at [own]. */
     class Relaying(own: Address, client: BackendClient, store: Address, loop: IoLoop) :
         PlatformSources {
-        override val configuration: TopicMirror = mirror(PlatformTopics.OPERATOR, store, client)
-        override val targets: TopicMirror = mirror(PlatformTopics.TARGETS, store, client)
+        override val configuration: TopicMirror =
+            mirror(StoreTopic(PlatformTopics.OPERATOR, store, client), RecordMeaning.Each)
+        override val targets: TopicMirror = mirror(
+            StoreTopic(PlatformTopics.TARGETS, store, client),
+            RecordMeaning.Lasting(::lastingTarget)
+        )
         private val server = RelayServer(
             own,
             persistentHashMapOf<String, () -> MirroredRecords>(
@@ -42,8 +48,8 @@
             loop
         )
 
-        private fun mirror(name: String, store: Address, client: BackendClient): TopicMirror =
-            TopicMirror(StoreTopic(name, store, client)) { server.changed() }
+        private fun mirror(topic: KeyedTopic, meaning: RecordMeaning): TopicMirror =
+            TopicMirror(topic, meaning) { server.changed() }
 
         override fun start() {
             server.start()
--- a/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryRecord.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryRecord.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.directory
 
 import java.time.Duration
+import java.time.Instant
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
@@ -14,15 +15,27 @@
     public data object Draining : TargetStanding
 }
 
-/** A target as its registry entry describes it. It stays slow for [coldFor] after its start. */
+/**
+ * A target as its registry entry describes it.
+ *
+ * It stays slow for [coldFor] from the time of the entry. A target that starts again under its id
+ * differs in [bornAt], where the registry tells it.
+ */
 public data class TargetEntry(
     val service: ServiceId,
     val zone: Zone,
     val address: Address,
     val slots: Int,
     val standing: TargetStanding,
-    val coldFor: Duration
-)
+    val coldFor: Duration,
+    val bornAt: Instant? = null
+) {
+    /** The entry without what each of a target's regular entries changes. */
+    public fun lasting(): TargetEntry =
+        copy(coldFor = if (coldFor.isZero) Duration.ZERO else SOME_TIME)
+}
+
+private val SOME_TIME: Duration = Duration.ofMillis(1)
 
 /** The newest word on the target [id]; a record with a higher [offset] replaces it. */
 public sealed interface DirectoryRecord {
--- a/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/directory/DirectoryState.kt
@@ -102,7 +102,8 @@
         val coldUntil = when {
             record.entry.coldFor.isZero -> null
             // Each entry repeats what is left, which differs by the time that it was on its way.
-            before?.coldUntil != null -> before.coldUntil
+            before?.coldUntil != null && before.entry.bornAt == record.entry.bornAt ->
+                before.coldUntil
             else -> now + record.entry.coldFor
         }
         val next = KnownTarget(record.offset, record.entry, coldUntil)
--- a/core/src/test/kotlin/org/wisteriahinge/core/directory/DirectoryStateTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/directory/DirectoryStateTest.kt
@@ -120,6 +120,15 @@
         expectThat(reused.names()).isEqualTo(listOf("t-2", "t-3"))
     }
 
+    @Test
+    fun `a target that starts again under its id is cold anew`() {
+        val cold = listed("t-1", 3, port = 81, coldFor = Duration.ofSeconds(3))
+        val reborn = cold.copy(offset = 4, entry = cold.entry.copy(bornAt = later))
+        val state = settled().decide(changes(cold), start).decide(changes(reborn), later)
+        expectThat(state.known[TargetId("t-1")]).isNotNull()
+            .get { coldUntil }.isEqualTo(later.plusSeconds(3))
+    }
+
     @Test
     fun `a cold target keeps the end of its start over repeated entries`() {
         val cold = listed("t-1", 3, port = 81, coldFor = Duration.ofSeconds(3))
--- /dev/null
+++ b/runtime/src/test/kotlin/org/wisteriahinge/runtime/TopicMirrorTest.kt
@@ -0,0 +1,89 @@
+package org.wisteriahinge.runtime
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.time.Duration
+import kotlinx.collections.immutable.toPersistentList
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/** Guards against followers that miss a change, or are sent what changes nothing. */
+class TopicMirrorTest {
+    /** A topic whose next read brings [next]. */
+    private class ScriptedTopic(var next: Result<TopicRecords, TopicFailure>) : KeyedTopic {
+        override fun newest() = next
+        override fun changes(from: Long, waitUpTo: Duration) = next
+    }
+
+    private fun record(offset: Long, key: String, value: String?) =
+        KeyedRecord(key, offset, value?.encodeToByteArray())
+
+    private fun page(next: Long, vararg records: KeyedRecord) =
+        Ok(TopicRecords(records.toList().toPersistentList(), next))
+
+    private val topic = ScriptedTopic(page(10, record(3, "a", "1 old"), record(9, "b", "2")))
+
+    private fun mirror(meaning: RecordMeaning = byFirstLetter) =
+        TopicMirror(topic, meaning) { }.also { it.newest() }
+
+    private val byFirstLetter =
+        RecordMeaning.Lasting { record -> record.value?.decodeToString()?.first() }
+
+    private fun TopicMirror.read(page: Result<TopicRecords, TopicFailure>) {
+        topic.next = page
+        changes(records.nextOffset, Duration.ZERO)
+    }
+
+    private fun TopicMirror.offsetsSince(from: Long) = records.since(from)?.map { it.offset }
+
+    @Test
+    fun `records that mean what the one before meant are not passed on`() {
+        val mirror = mirror()
+        mirror.read(page(13, record(10, "a", "1 new"), record(11, "b", "3"), record(12, "a", "1")))
+        expectThat(mirror.offsetsSince(10)).isNotNull().containsExactly(11)
+        expectThat(mirror.offsetsSince(12)).isNotNull().isEmpty()
+    }
+
+    @Test
+    fun `those who read anew get the newest record of each key`() {
+        val mirror = mirror()
+        mirror.read(page(12, record(10, "a", "1 new"), record(11, "b", null)))
+        expectThat(mirror.records.newest.map { it.offset }).containsExactly(10)
+    }
+
+    @Test
+    fun `a key that returns after its removal is passed on`() {
+        val mirror = mirror()
+        mirror.read(page(12, record(10, "a", null), record(11, "a", "1")))
+        expectThat(mirror.offsetsSince(10)).isNotNull().containsExactly(10, 11)
+    }
+
+    @Test
+    fun `records without a meaning are all passed on`() {
+        val mirror = mirror(RecordMeaning.Each)
+        mirror.read(page(12, record(10, "a", "1"), record(11, "a", "1")))
+        expectThat(mirror.offsetsSince(10)).isNotNull().containsExactly(10, 11)
+    }
+
+    @Test
+    fun `those who are further behind than what is kept read anew`() {
+        val mirror = mirror()
+        val many = (10L until 3_010L).map { record(it, "a", "${it % 2}") }
+        mirror.read(page(3_010, *many.toTypedArray()))
+        expectThat(mirror.records.since(10)).isNull()
+        expectThat(mirror.offsetsSince(3_009)).isNotNull().containsExactly(3_009)
+    }
+
+    @Test
+    fun `a failed read shows that what is known may be old`() {
+        val mirror = mirror()
+        mirror.read(Err(TopicFailure.Unavailable("silent")))
+        expectThat(mirror.records.isFollowing).isFalse()
+    }
+}
