--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CourseLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CourseLog.kt
@@ -44,7 +44,11 @@
 }
 
 // Queries may hold personal data and are left out.
-internal fun CallCourse.fields(): Map<String, Any?> = mapOf(
+internal fun CallCourse.fields(): Map<String, Any> = allFields().mapNotNull { (name, value) ->
+    value?.let { name to it }
+}.toMap()
+
+private fun CallCourse.allFields(): Map<String, Any?> = mapOf(
     "request_id" to request.callerRequestId,
     "call_id" to request.callId.value,
     "method" to request.method,
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CourseLogTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CourseLogTest.kt
@@ -61,7 +61,7 @@
             )
         )
         expectThat(course.fields()).isEqualTo(
-            mapOf(
+            mapOf<String, Any>(
                 "request_id" to "c4-17",
                 "call_id" to 7L,
                 "method" to "POST",
@@ -70,7 +70,6 @@
                 "configuration" to 5L,
                 "reason" to "target_failed",
                 "execution" to "MayHaveRun",
-                "retry_after_ms" to null,
                 "elapsed" to "40.25 ms",
                 "steps" to "at 0.25 ms attempt 1 sent to t1 (1 own, 2 of 3 in flight, " +
                     "pace 120%, 4.25 ms ago); at 40.25 ms t1 failed: disconnected; " +
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPath.kt
@@ -26,6 +26,7 @@
 import org.wisteriahinge.runtime.CallMessage
 import org.wisteriahinge.runtime.CallsDuty
 import org.wisteriahinge.runtime.CourseDuty
+import org.wisteriahinge.runtime.CourseSink
 import org.wisteriahinge.runtime.EffectSink
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
@@ -50,7 +51,8 @@
     private val registry: PrometheusRegistry,
     clock: Clock,
     private val others: EffectSink<CallEffect>,
-    answers: (CallGateway) -> AnswerListener? = { null }
+    answers: (CallGateway) -> AnswerListener? = { null },
+    courseSink: CourseSink = CourseLog(registry)
 ) : Closeable {
     private val metrics = CallMetrics(registry)
     val ring = Ring<CallMessage>(
@@ -59,7 +61,7 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     val gateway = CallGateway(ring, MAX_CALLS)
-    private val courses = CourseDuty(clock, CourseLog(registry))
+    private val courses = CourseDuty(clock, courseSink)
     private val duty = CallsDuty(ring, initial, ::perform, clock)
     private val process = InstanceMetrics(registry, gateway::callsInProgress)
     private val backend = BackendClient(settings.connections)
--- a/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
@@ -32,6 +32,7 @@
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.runtime.CourseSink
 
 private val logger = KotlinLogging.logger {}
 
@@ -65,7 +66,14 @@
             val id = TargetId(name)
             id to LoopbackTarget { head -> dialect.answerTo(head, id) }
         }
-        val path = CallPath(settings, initial, PrometheusRegistry(), clock, { })
+        val path = CallPath(
+            settings,
+            initial,
+            PrometheusRegistry(),
+            clock,
+            { },
+            courseSink = CourseSink.None
+        )
         val client = BackendClient(ConnectionLimits(perTarget = 2))
         try {
             targets.forEach { (_, target) -> target.start() }
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/CourseDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/CourseDuty.kt
@@ -33,4 +33,13 @@
 
     /** A course is not written, because there are too many. May be called on any thread. */
     public fun leftOut()
+
+    public companion object {
+        /** Writes nothing. */
+        public val None: CourseSink = object : CourseSink {
+            override fun write(course: CallCourse) = Unit
+
+            override fun leftOut() = Unit
+        }
+    }
 }
