Send probes again on a new connection when a kept one is dead

Cause: targets may forget idle channels, and reset whatever is sent next there. On a large site an instance uses most of its connections seconds apart: all probes of a survey then fail, and the request itself goes out on the next forgotten connection, where an unsafe one may have run.

Change: a probe whose kept connection proves dead is sent again on a new one; older idle connections to that target are closed on the way. Requests are not resent: they count as arrivals, and may have run.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
@@ -12,7 +12,9 @@
  * [pathAndQuery] is sent byte for byte. [remaining] is the time until the head of the answer. An
  * answer that carries another value in the header [echo] belongs to another request. [host] is
  * sent as the `Host`, null for the target's address. A request that is not [isRepeatable] is sent
- * only on a connection that was used a moment ago, or on a new one.
+ * only on a connection that was used a moment ago, or on a new one. One that [isResendable] is sent
+ * again on a new connection when a kept one turns out to be dead: it changes nothing, and nobody
+ * counts it.
  */
 public class BackendRequest(
     public val method: String,
@@ -22,5 +24,6 @@
     public val remaining: Duration,
     public val echo: HeaderField? = null,
     public val host: String? = null,
-    public val isRepeatable: Boolean = true
+    public val isRepeatable: Boolean = true,
+    public val isResendable: Boolean = false
 )
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/LoadProber.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/LoadProber.kt
@@ -29,7 +29,8 @@
             pathAndQuery = path,
             headers = persistentListOf(),
             body = RequestBody.None,
-            remaining = PROBE_TIMEOUT
+            remaining = PROBE_TIMEOUT,
+            isResendable = true
         )
         backend.send(target.address, request, Probe(target))
     }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -38,13 +38,20 @@
  * Reads the answers on one connection, one at a time. Called on the connection's event loop.
  *
  * [onEnd] returns the connection to its pool; a connection that is not reusable is closed first.
+ * [onDead] takes a request back that was sent on a kept connection which the target had forgotten.
  */
-internal class TargetConnectionHandler(private val onEnd: (Channel) -> Unit) :
-    ChannelInboundHandlerAdapter() {
+internal class TargetConnectionHandler(
+    private val onEnd: (Channel) -> Unit,
+    private val onDead: (TargetExchange) -> Unit
+) : ChannelInboundHandlerAdapter() {
     private var reading: Reading = Reading.Idle
     private var requestWritten = false
     private var usedNanos = System.nanoTime()
 
+    /** Whether the connection has brought an answer before. */
+    var isKept = false
+        private set
+
     /** The body that is being sent; null when it was in memory as a whole. */
     var feed: BodyFeed? = null
 
@@ -138,6 +145,7 @@
 
     private fun end(context: ChannelHandlerContext, body: Reading.Body) {
         reading = Reading.Idle
+        isKept = true
         usedNanos = System.nanoTime()
         body.exchange.detach()
         context.channel().config().isAutoRead = true
@@ -168,13 +176,21 @@
         broken(context, cause.javaClass.simpleName)
     }
 
+    private fun unanswered(exchange: TargetExchange, detail: String) {
+        if (isKept && exchange.request.isResendable) {
+            onDead(exchange)
+        } else {
+            exchange.failed(AttemptFailure.Disconnected, detail)
+        }
+    }
+
     private fun broken(context: ChannelHandlerContext, detail: String) {
         val current = reading
         reading = Reading.Idle
         context.close()
         when (current) {
             Reading.Idle -> return
-            is Reading.Head -> current.exchange.failed(AttemptFailure.Disconnected, detail)
+            is Reading.Head -> unanswered(current.exchange, detail)
             is Reading.Skipped -> current.exchange.failed(AttemptFailure.Disconnected, detail)
             is Reading.Body -> current.receiver.truncated(detail)
         }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -48,16 +48,18 @@
     }
 
     /** Writes the head of [exchange] to a connection, as soon as there is one. */
-    fun send(exchange: TargetExchange) {
+    fun send(exchange: TargetExchange) = send(exchange, reuse = true)
+
+    private fun send(exchange: TargetExchange, reuse: Boolean) {
         val pool = pools.get(exchange.address)
         pool.acquire().addListener { acquired ->
             val channel = acquired.now as Channel?
             when {
                 channel == null -> exchange.failToConnect(acquired.cause())
-                channel.isTooOldFor(exchange.request) -> {
+                !reuse && channel.isKept() || channel.isTooOldFor(exchange.request) -> {
                     channel.close()
                     pool.release(channel)
-                    send(exchange)
+                    send(exchange, reuse)
                 }
                 !exchange.connected(channel) -> pool.release(channel)
                 else -> RequestWriter(exchange).write(channel)
@@ -65,6 +67,14 @@
         }
     }
 
+    /** A target that forgot one idle connection has forgotten those that were idle for longer. */
+    private fun sendAnew(exchange: TargetExchange) {
+        exchange.waitAgain()
+        send(exchange, reuse = false)
+    }
+
+    private fun Channel.isKept(): Boolean = targetHandler()?.isKept != false
+
     /** Whether the target may have closed the connection already. */
     private fun Channel.isStale(): Boolean {
         val handler = targetHandler() ?: return true
@@ -113,7 +123,7 @@
             channel.pipeline().addLast(CODEC, HttpClientCodec())
             channel.pipeline().addLast(
                 HANDLER,
-                TargetConnectionHandler { pools.get(address).release(it) }
+                TargetConnectionHandler({ pools.get(address).release(it) }, ::sendAnew)
             )
         }
     }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
@@ -39,6 +39,11 @@
         return true
     }
 
+    /** The connection proved dead before an answer; the exchange waits for another one. */
+    fun waitAgain() {
+        if (hold is Hold.Connected) hold = Hold.Waiting
+    }
+
     override fun answered(answer: BackendAnswer) {
         if (settle()) observer.answered(answer)
     }
