--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -20,8 +20,14 @@
      * @throws InvalidChartException if a chart file is missing or has a fault; called at startup,
      * so that a broken file stops the process before it serves callers.
      */
-    public fun loadAll(): PersistentList<Chart<*, *, *>> = loadForOpenRoutes().addAll(
-        listOf(configurationChart, leaseChart, peerChart)
+    public fun loadAll(): PersistentList<Chart<*, *, *>> = persistentListOf(
+        attemptChart,
+        availabilityChart,
+        configurationChart,
+        lifecycleChart,
+        leaseChart,
+        peerChart,
+        watchChart
     )
 
     /**
