Survive a SIGHUP that comes soon after the start

Cause: the handler was set after the settings and charts were read; before it the JVM ends at SIGHUP.

--- a/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
@@ -12,21 +12,9 @@
 import org.wisteriahinge.charts.InvalidChartException
 import org.wisteriahinge.core.ChartCatalog
 import org.wisteriahinge.runtime.SteadyClock
-import sun.misc.Signal
 
 private val logger = KotlinLogging.logger {}
 
-/**
- * Keeps the process running at SIGHUP, which would end it.
- *
- * The settings are the command line, so that there is nothing to reload.
- */
-internal fun surviveHangUp() {
-    Signal.handle(Signal("HUP")) {
-        logger.info { "SIGHUP: settings take effect at a start" }
-    }
-}
-
 @OptIn(ExperimentalCli::class)
 internal class FrontCommand(context: CommandContext) :
     Command(
@@ -53,7 +41,6 @@
 
     private fun serve(settings: FrontSettings, socket: ListeningSocket): Int {
         ChartCatalog.loadForOpenRoutes()
-        surviveHangUp()
         val instance = FrontInstance(settings, SteadyClock(), socket)
         Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
         instance.start()
--- a/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/WarmUpCommand.kt
@@ -12,6 +12,7 @@
 import org.wisteriahinge.app.settings.Settings
 import org.wisteriahinge.app.settings.resolveSettings
 import org.wisteriahinge.app.settings.toFrontSettings
+import org.wisteriahinge.app.surviveHangUp
 import org.wisteriahinge.core.ChartCatalog
 import org.wisteriahinge.runtime.SteadyClock
 
@@ -50,7 +51,7 @@
         val settings = values.toFrontSettings(seed = 1)
         val socket = ListeningSocket.open(settings.callers.host, settings.callers.port)
         ChartCatalog.loadForOpenRoutes()
-        surviveHangUp()
+        surviveHangUp("front")
         val instance = FrontInstance(settings, SteadyClock(), socket)
         instance.start()
         instance.warmUp(CALLS, LIMIT)
