A fault soak of real processes: bin/soak

Runs instances of the program as processes with a store and targets of this repository behind loopback proxies, plays the faults of a seed (signals, kills, pauses, broken and silent links, a store that is down or forgets, drains, new configurations) and checks ten promises from what callers and targets saw.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -18,6 +18,8 @@
 import org.wisteriahinge.bench.policy.Scenario
 import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
+import org.wisteriahinge.bench.soak.SOAK
+import org.wisteriahinge.bench.soak.soakCommand
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
 public fun main(args: Array<String>) {
@@ -26,10 +28,19 @@
     val seed by parser.option(ArgType.Int, "seed", description = "Seed of the run").default(1)
     val steps by parser.option(ArgType.Int, "steps", description = "Steps of a fuzz run")
         .default(20_000)
+    val seconds by parser.option(
+        ArgType.Int,
+        "seconds",
+        description = "Seconds of faults in a soak"
+    )
+        .default(30)
+    val instances by parser.option(ArgType.Int, "instances", description = "Instances in a soak")
+        .default(4)
     parser.parse(args)
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
+        name == SOAK -> if (!soakCommand(seed.toLong(), seconds, instances)) exitProcess(1)
         name == "at-most-once" -> println(atMostOnce(seed.toLong()))
         name == "log-outage" -> println(logOutage(seed.toLong()))
         name == "limits" -> println(limits(seed.toLong()))
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
@@ -0,0 +1,131 @@
+package org.wisteriahinge.bench.soak
+
+import java.io.File
+import java.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.bench.standin.TargetBehaviour
+
+/** Name of the soak on the command line. */
+internal const val SOAK = "soak"
+
+private const val POLL_MILLIS = 20L
+private val START_LIMIT: Duration = Duration.ofSeconds(60)
+private val BEAT_PERIOD: Duration = Duration.ofMillis(1_500)
+
+/** After the last fault: time to settle, and then a time in which requests must be served. */
+private val SETTLING: Duration = Duration.ofSeconds(4)
+private val CALM: Duration = Duration.ofSeconds(2)
+private const val CALM_SERVED_SHARE = 0.95
+
+private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
+
+/** What came of a soak. */
+internal data class SoakReport(
+    val seed: Long,
+    val requests: Int,
+    val arrivals: Int,
+    val faults: Int,
+    val violations: PersistentList<SoakViolation>
+) {
+    override fun toString(): String = violations.fold(
+        "soak seed $seed: $faults faults, $requests requests, $arrivals arrivals at targets, " +
+            "${violations.size} promises broken"
+    ) { text, it -> "$text\n  at ${it.at.toMillis()} ms, ${it.promise}: ${it.detail}" }
+}
+
+/** Runs the program as processes under the faults of [seed], and checks what is seen outside. */
+internal class Soak(private val seed: Long, private val size: SoakSize, private val logs: File) {
+    fun run(): SoakReport = SoakDeployment(size, logs).use { deployment ->
+        val recorder = SoakRecorder()
+        deployment.targets.forEach { it.behave(TargetBehaviour(USUAL_WORK)) }
+        awaitReady(deployment)
+        recorder.start()
+        val plan = soakPlan(seed, size)
+        val traffic = SoakTraffic(deployment, recorder, seed).also { it.start() }
+        val calmFrom = play(plan, deployment, recorder)
+        traffic.stop()
+        Thread.sleep(STOP_TIMEOUT.toMillis())
+        recorder.stop(STOP_TIMEOUT)
+        report(deployment, recorder, plan.size, calmFrom)
+    }
+
+    private fun awaitReady(deployment: SoakDeployment) {
+        val until = System.nanoTime() + START_LIMIT.toNanos()
+        while (!deployment.instances.all { it.isReady() }) {
+            check(System.nanoTime() < until) { "the instances are not ready; see their logs" }
+            Thread.sleep(POLL_MILLIS)
+        }
+    }
+
+    /** Plays [plan] and returns when the calm time at its end began. */
+    private fun play(
+        plan: PersistentList<PlannedFault>,
+        deployment: SoakDeployment,
+        recorder: SoakRecorder
+    ): Duration {
+        val faults = SoakFaults(deployment, recorder)
+        val threads = plan.map { planned ->
+            idle(planned.at, deployment, recorder, faults)
+            faults.begin(planned.fault)
+        }
+        while (threads.any { it.isAlive }) idle(recorder.now(), deployment, recorder, faults)
+        val calmFrom = recorder.now() + SETTLING
+        idle(calmFrom + CALM, deployment, recorder, faults)
+        return calmFrom
+    }
+
+    /** Lets targets write their entries and watches the processes until [until]. */
+    private fun idle(
+        until: Duration,
+        deployment: SoakDeployment,
+        recorder: SoakRecorder,
+        faults: SoakFaults
+    ) {
+        do {
+            faults.watchEnds()
+            if (recorder.now() > beatenAt + BEAT_PERIOD) {
+                deployment.beat()
+                beatenAt = recorder.now()
+            }
+            Thread.sleep(POLL_MILLIS)
+        } while (recorder.now() < until)
+    }
+
+    private var beatenAt: Duration = Duration.ZERO
+
+    private fun report(
+        deployment: SoakDeployment,
+        recorder: SoakRecorder,
+        faults: Int,
+        calmFrom: Duration
+    ): SoakReport {
+        val arrivals = deployment.targets.flatMapIndexed { index, target ->
+            target.runs.map { SoakArrival(it.id, index, recorder.at(it.nanos)) }
+        }.toPersistentList()
+        val history = recorder.seen.copy(arrivals = arrivals)
+        val found = violations(history, size.instances).addAll(unserved(history, calmFrom))
+        return SoakReport(seed, history.requests.size, arrivals.size, faults, found)
+    }
+
+    private fun unserved(history: SoakHistory, calmFrom: Duration): List<SoakViolation> {
+        val calm = history.requests.filter { it.sentAt > calmFrom && it.work !is SoakWork.Look }
+        val served = calm.count { (it.result as? SoakResult.Answered)?.status == 200 }
+        if (served >= calm.size * CALM_SERVED_SHARE && calm.isNotEmpty()) return emptyList()
+        val detail = "$served of ${calm.size} requests served"
+        return listOf(SoakViolation("service comes back after faults", calmFrom, detail))
+    }
+}
+
+/** Runs a soak with [seed] for [seconds] of faults, prints it, and says whether all was kept. */
+internal fun soakCommand(seed: Long, seconds: Int, instances: Int): Boolean {
+    val logs = File(System.getProperty("java.io.tmpdir"), "wisteriahinge-soak-$seed")
+    logs.deleteRecursively()
+    logs.mkdirs()
+    val size = SoakSize(instances, targets = 6, length = Duration.ofSeconds(seconds.toLong()))
+    val report = Soak(seed, size, logs).run()
+    println(report)
+    if (report.violations.isEmpty()) return true
+    println("replay: bin/soak --seed $seed --seconds $seconds --instances $instances; logs: $logs")
+    return false
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
@@ -0,0 +1,95 @@
+package org.wisteriahinge.bench.soak
+
+import java.io.Closeable
+import java.io.File
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.locks.ReentrantLock
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.bench.standin.StandInPlatformTarget
+import org.wisteriahinge.bench.standin.StandInStore
+import org.wisteriahinge.core.model.Address
+
+private const val SERVICE = "s-1"
+private const val ZONE = "a"
+private const val RELAYS = 3
+private const val LOCALHOST = "127.0.0.1"
+
+/** A store, targets behind proxies, and the program as processes that reach the store by proxies. */
+internal class SoakDeployment(size: SoakSize, logs: File) : Closeable {
+    val store = StandInStore()
+    val targets: PersistentList<StandInPlatformTarget> =
+        List(size.targets) { StandInPlatformTarget("i-$it") }.toPersistentList()
+    val targetLinks: PersistentList<LoopbackProxy>
+    val storeLinks: PersistentList<LoopbackProxy>
+    val instances: PersistentList<SoakInstance>
+
+    /** One act at a time may start, stop or signal an instance. */
+    val locks = List(size.instances) { ReentrantLock() }.toPersistentList()
+
+    /** The newest configuration that the store has accepted. */
+    val version = AtomicInteger()
+    private val entries = AtomicLong()
+    private val states = ConcurrentHashMap<Int, String>()
+
+    init {
+        val storePort = store.start()
+        targetLinks = targets.map { LoopbackProxy(it.start()) }.toPersistentList()
+        storeLinks = List(size.instances) { LoopbackProxy(storePort) }.toPersistentList()
+        (targetLinks + storeLinks).forEach { it.start() }
+        configure()
+        beat()
+        val relays = List(minOf(RELAYS, size.instances)) { freeAddress() }.toPersistentList()
+        instances = List(size.instances) { index ->
+            val addresses = SoakAddresses(
+                callers = freeAddress(),
+                ready = freeAddress(),
+                relay = relays.getOrNull(index) ?: freeAddress(),
+                store = Address(LOCALHOST, storeLinks[index].ownPort),
+                relays = relays
+            )
+            SoakInstance("soak-$index", addresses, File(logs, "instance-$index.log"))
+        }.toPersistentList()
+    }
+
+    /** Writes a newer configuration and returns its version. */
+    fun configure(): Int {
+        val next = version.get() + 1
+        store.put("keyed.op", "config", configuration(next))
+        version.set(next)
+        return next
+    }
+
+    /** Lets each target write its entry. */
+    fun beat() = targets.indices.forEach { announce(it, states[it] ?: "ready") }
+
+    /** Lets a target write that it is in [state]. */
+    fun announce(target: Int, state: String) {
+        states[target] = state
+        val port = targetLinks[target].ownPort
+        val entry = targets[target].entry(SERVICE, ZONE, port, state, entries.incrementAndGet())
+        store.put("keyed.servers", targets[target].id, entry)
+    }
+
+    private fun configuration(version: Int): String =
+        """{"version":$version,"routes":{"columns":["name","host","pathPrefix","kind",""" +
+            """"timeoutMs","sloMs","priority","backends","maxAttempts","service"],"rows":[""" +
+            """["r-1","$LOCALHOST","/x/","safe",1500,250,2,null,2,"$SERVICE"],""" +
+            """["r-2","$LOCALHOST","/w/","unsafe",1500,300,1,null,2,"$SERVICE"],""" +
+            """["r-3","$LOCALHOST","/g$version/","safe",1500,250,2,null,2,"$SERVICE"]]},""" +
+            """"services":{"columns":["name","healthPath","maxConns"],""" +
+            """"rows":[["$SERVICE","/health",260]]},"limits":{"maxHeaderBytes":16384,""" +
+            """"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"""
+
+    override fun close() {
+        instances.forEach { it.kill() }
+        (targetLinks + storeLinks).forEach { it.close() }
+        targets.forEach { it.close() }
+        store.close()
+    }
+}
+
+private fun freeAddress(): Address = Address(LOCALHOST, ServerSocket(0).use { it.localPort })
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
@@ -0,0 +1,42 @@
+package org.wisteriahinge.bench.soak
+
+import java.time.Duration
+
+/** A disturbance of a soak. Indices name instances and targets of the deployment. */
+internal sealed interface SoakFault {
+    /** SIGTERM to an instance, which is started again once it has ended. */
+    data class Restart(val instance: Int) : SoakFault
+
+    /** SIGKILL to an instance, which is started again at once. */
+    data class Kill(val instance: Int) : SoakFault
+
+    /** SIGSTOP, and SIGCONT after [length]. */
+    data class Pause(val instance: Int, val length: Duration) : SoakFault
+
+    /** SIGHUP to an instance. */
+    data class HangUp(val instance: Int) : SoakFault
+
+    /** The connections to a target behave as [link] for [length]. */
+    data class TargetLink(val target: Int, val link: Link, val length: Duration) : SoakFault
+
+    /** The connections of an instance to the store behave as [link] for [length]. */
+    data class StoreLink(val instance: Int, val link: Link, val length: Duration) : SoakFault
+
+    /** The store refuses every call for [length]. */
+    data class StoreDown(val length: Duration) : SoakFault
+
+    /** The store forgets all but the newest record of each key. */
+    data object StoreForgets : SoakFault
+
+    /** A target works slowly for [length]. */
+    data class SlowTarget(val target: Int, val length: Duration) : SoakFault
+
+    /** A target announces that it drains, and is back after [length]. */
+    data class Drain(val target: Int, val length: Duration) : SoakFault
+
+    /** The operator writes a newer configuration. */
+    data object NewConfiguration : SoakFault
+}
+
+/** [fault] begins [at] after the start of the traffic. */
+internal data class PlannedFault(val at: Duration, val fault: SoakFault)
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
@@ -0,0 +1,97 @@
+package org.wisteriahinge.bench.soak
+
+import java.io.File
+import java.io.IOException
+import java.net.InetAddress
+import java.net.Socket
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.model.Address
+
+private const val MAIN_CLASS = "org.wisteriahinge.app.MainKt"
+private const val GRACE_SECONDS = 6L
+
+/** Where an instance listens and what it reads. */
+internal data class SoakAddresses(
+    val callers: Address,
+    val ready: Address,
+    val relay: Address,
+    val store: Address,
+    val relays: PersistentList<Address>
+)
+
+/** How a process ended by SIGTERM. */
+internal data class Stopped(val exitCode: Int?, val took: Duration)
+
+/** The program as a process of its own, started again after each end. It ends no other process. */
+internal class SoakInstance(
+    private val name: String,
+    private val addresses: SoakAddresses,
+    private val log: File
+) {
+    @Volatile
+    private var process: Process = launch()
+
+    /** Whether the process runs, paused or not. */
+    val isAlive: Boolean get() = process.isAlive
+
+    val callers: Address get() = addresses.callers
+
+    private fun launch(): Process {
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val options = listOf("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+        val program = listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "front")
+        val settings = listOf(
+            "--zone" to "a",
+            "--instance-name" to name,
+            "--caller-address" to addresses.callers.toString(),
+            "--ready-address" to addresses.ready.toString(),
+            "--relay-address" to addresses.relay.toString(),
+            "--store-address" to addresses.store.toString(),
+            "--relays" to addresses.relays.joinToString(","),
+            "--grace-time-s" to GRACE_SECONDS.toString()
+        ).flatMap { (flag, value) -> listOf(flag, value) }
+        return ProcessBuilder(listOf(java) + options + program + settings)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            .start()
+    }
+
+    /** Sends SIGTERM and waits for the end. */
+    fun stop(): Stopped {
+        val startedNanos = System.nanoTime()
+        process.destroy()
+        val ended = process.waitFor(GRACE_SECONDS, TimeUnit.SECONDS)
+        val took = Duration.ofNanos(System.nanoTime() - startedNanos)
+        if (!ended) kill()
+        return Stopped(if (ended) process.exitValue() else null, took)
+    }
+
+    /** Sends SIGKILL. */
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    /** Starts the program anew after its end. */
+    fun startAgain() {
+        process = launch()
+    }
+
+    /** Sends [signal], such as STOP. */
+    fun signal(signal: String) {
+        ProcessBuilder("kill", "-$signal", process.pid().toString()).start().waitFor()
+    }
+
+    /** Whether the instance says that it is ready. */
+    fun isReady(): Boolean = try {
+        Socket(InetAddress.getByName(addresses.ready.host), addresses.ready.port).use { socket ->
+            socket.soTimeout = 1_000
+            val request = "GET /api/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n"
+            socket.getOutputStream().write(request.encodeToByteArray())
+            socket.getInputStream().bufferedReader().readLine().orEmpty().contains(" 200 ")
+        }
+    } catch (_: IOException) {
+        false
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
@@ -0,0 +1,57 @@
+package org.wisteriahinge.bench.soak
+
+import java.time.Duration
+import java.util.SplittableRandom
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+
+/** Time before the first fault and after the last one, in which all must be well. */
+private val QUIET: Duration = Duration.ofSeconds(2)
+private const val LONGEST_GAP_MILLIS = 1_800L
+private const val SHORTEST_MILLIS = 300L
+private const val LONGEST_MILLIS = 3_500L
+
+/** The size of a soak. */
+internal data class SoakSize(val instances: Int, val targets: Int, val length: Duration)
+
+/** The faults of [seed], which may overlap and come in series; the same for the same seed. */
+internal fun soakPlan(seed: Long, size: SoakSize): PersistentList<PlannedFault> {
+    val random = SplittableRandom(seed)
+    val last = size.length - QUIET
+    return generateSequence(QUIET) { it.plusMillis(random.nextLong(LONGEST_GAP_MILLIS)) }
+        .takeWhile { it < last }
+        .map { PlannedFault(it, drawFault(random, size)) }
+        .toPersistentList()
+}
+
+private fun drawFault(random: SplittableRandom, size: SoakSize): SoakFault {
+    val instance = random.nextInt(size.instances)
+    val target = random.nextInt(size.targets)
+    val length = Duration.ofMillis(random.nextLong(SHORTEST_MILLIS, LONGEST_MILLIS))
+    val link = drawLink(random)
+    val kinds = listOf(
+        SoakFault.Restart(instance),
+        SoakFault.Kill(instance),
+        SoakFault.Pause(instance, length),
+        SoakFault.HangUp(instance),
+        SoakFault.TargetLink(target, link, length),
+        SoakFault.StoreLink(instance, link, length),
+        SoakFault.StoreDown(length),
+        SoakFault.StoreForgets,
+        SoakFault.SlowTarget(target, length),
+        SoakFault.Drain(target, length + Duration.ofSeconds(2)),
+        SoakFault.NewConfiguration,
+        SoakFault.NewConfiguration
+    )
+    return kinds[random.nextInt(kinds.size)]
+}
+
+private fun drawLink(random: SplittableRandom): Link {
+    val links = listOf(
+        Link.Delayed(Duration.ofMillis(random.nextLong(20, 300))),
+        Link.Resetting,
+        Link.Silent,
+        Link.NoAnswers
+    )
+    return links[random.nextInt(links.size)]
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRecorder.kt
@@ -0,0 +1,44 @@
+package org.wisteriahinge.bench.soak
+
+import java.time.Duration
+import org.wisteriahinge.runtime.Duty
+import org.wisteriahinge.runtime.Ring
+import org.wisteriahinge.runtime.offerWaiting
+
+private const val RING_CAPACITY = 4_096
+private val IDLE: Duration = Duration.ofMillis(200)
+
+/** Something that was seen, on its way into the history. */
+internal sealed interface SoakNote {
+    data class Request(val request: SoakRequest) : SoakNote
+    data class Act(val act: SoakAct) : SoakNote
+}
+
+/** Owns what was seen of a soak. */
+internal class SoakRecorder : Duty("soak-recorder") {
+    private val inbox = Ring<SoakNote>("soak-notes", RING_CAPACITY)
+    private val startNanos = System.nanoTime()
+
+    @Volatile
+    private var history = SoakHistory()
+
+    /** What was seen so far, without the arrivals. */
+    val seen: SoakHistory get() = history
+
+    /** Time since the start of the traffic. */
+    fun now(): Duration = Duration.ofNanos(System.nanoTime() - startNanos)
+
+    fun at(nanos: Long): Duration = Duration.ofNanos(nanos - startNanos)
+
+    fun note(note: SoakNote) {
+        inbox.offerWaiting(note)
+    }
+
+    override fun runOnce() {
+        val note = inbox.take(IDLE) ?: return
+        history = when (note) {
+            is SoakNote.Request -> history.copy(requests = history.requests.add(note.request))
+            is SoakNote.Act -> history.copy(acts = history.acts.add(note.act))
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakTraffic.kt
@@ -0,0 +1,78 @@
+package org.wisteriahinge.bench.soak
+
+import java.util.SplittableRandom
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+
+private const val CALLERS = 6
+private const val PAUSE_MILLIS = 30L
+private const val LOOK_PAUSE_MILLIS = 150L
+private const val WRITE_SHARE = 0.4
+private const val LARGE_SHARE = 0.1
+private const val SMALL_BYTES = 300
+private const val LARGE_BYTES = 60_000
+
+/** Callers of a soak, and one that looks which configuration each instance has. */
+internal class SoakTraffic(
+    private val deployment: SoakDeployment,
+    private val recorder: SoakRecorder,
+    private val seed: Long
+) {
+    private val ids = AtomicInteger()
+    private val isOver = AtomicReference(false)
+    private var threads: PersistentList<Thread> = persistentListOf()
+
+    fun start() {
+        val callers = List(CALLERS) { number -> thread(isDaemon = true) { call(number) } }
+        val looks = deployment.instances.indices.map { thread(isDaemon = true) { look(it) } }
+        threads = threads.addAll(callers + looks)
+    }
+
+    /** Lets each caller finish its request. */
+    fun stop() {
+        isOver.set(true)
+        threads.forEach { it.join() }
+    }
+
+    private fun call(number: Int) {
+        val random = SplittableRandom(seed * CALLERS + number)
+        val callers = deployment.instances.map { SoakCaller(it.callers) }
+        while (!isOver.get()) {
+            val instance = random.nextInt(callers.size)
+            val isWrite = random.nextDouble() < WRITE_SHARE
+            val work = if (isWrite) SoakWork.Write else SoakWork.Read
+            val size = if (random.nextDouble() < LARGE_SHARE) LARGE_BYTES else SMALL_BYTES
+            request(callers[instance], instance, work, if (isWrite) size else 0)
+            Thread.sleep(PAUSE_MILLIS)
+        }
+        callers.forEach { it.leave() }
+    }
+
+    private fun look(instance: Int) {
+        val caller = SoakCaller(deployment.instances[instance].callers)
+        while (!isOver.get()) {
+            val version = deployment.version.get()
+            listOf(version, version - 1).filter { it > 0 }.forEach {
+                request(caller, instance, SoakWork.Look(it), bytes = 0)
+            }
+            Thread.sleep(LOOK_PAUSE_MILLIS)
+        }
+        caller.leave()
+    }
+
+    private fun request(caller: SoakCaller, instance: Int, work: SoakWork, bytes: Int) {
+        val number = ids.incrementAndGet()
+        val id = "soak-$seed-$number"
+        val sentAt = recorder.now()
+        val result = when (work) {
+            SoakWork.Read -> caller.send(id, "GET", "/x/$number", ByteArray(0))
+            SoakWork.Write -> caller.send(id, "POST", "/w/$number", ByteArray(bytes))
+            is SoakWork.Look -> caller.send(id, "GET", "/g${work.version}/$number", ByteArray(0))
+        }
+        val request = SoakRequest(id, work, instance, sentAt, recorder.now(), result)
+        recorder.note(SoakNote.Request(request))
+    }
+}
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInPlatformTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInPlatformTarget.kt
@@ -23,11 +23,14 @@
 private const val REQUEST_ID = "Wisteriahinge-Request-Id"
 private const val SLOTS = 3
 
+/** A target began to work on the request [id] at [nanos] of the steady clock. */
+public data class TargetRun(val id: String, val nanos: Long)
+
 /** A backend server as on the users' platform, registered under [id]. */
 public class StandInPlatformTarget(public val id: String) : Closeable {
     private val running = AtomicInteger()
     private val behaviour = AtomicReference(TargetBehaviour())
-    private val ran = ConcurrentLinkedQueue<String>()
+    private val ran = ConcurrentLinkedQueue<TargetRun>()
     private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
         routing {
             get("/health") { health(call) }
@@ -36,7 +39,10 @@
     }
 
     /** The ids of the requests that it ran, in order. */
-    public val ranIds: List<String> get() = ran.toList()
+    public val ranIds: List<String> get() = ran.map { it.id }
+
+    /** What it ran, in order. */
+    public val runs: List<TargetRun> get() = ran.toList()
 
     /** Starts listening and returns the port. */
     public fun start(): Int {
@@ -49,11 +55,16 @@
         behaviour.set(next)
     }
 
-    /** The entry with which it registers itself for [service] in [zone]. */
-    public fun entry(service: String, zone: String, port: Int, state: String = "ready"): String =
-        """{"address":"127.0.0.1:$port","info":{"service":"$service","version":"v1",""" +
-            """"zone":"$zone","slots":$SLOTS},"status":{"state":"$state","seq":1,""" +
-            """"warmupLeftMs":0}}"""
+    /** The entry number [seq] with which it registers itself for [service] in [zone]. */
+    public fun entry(
+        service: String,
+        zone: String,
+        port: Int,
+        state: String = "ready",
+        seq: Long = 1
+    ): String = """{"address":"127.0.0.1:$port","info":{"service":"$service","version":"v1",""" +
+        """"zone":"$zone","slots":$SLOTS},"status":{"state":"$state","seq":$seq,""" +
+        """"warmupLeftMs":0}}"""
 
     private fun ApplicationCall.tell() {
         response.header("Wisteriahinge-Server-Load", "${running.get()},0,$SLOTS,100")
@@ -72,7 +83,7 @@
         call.response.header(REQUEST_ID, requestId)
         if (expected != id) return call.respond(HttpStatusCode.MisdirectedRequest)
         if (current.draining) return shed(call)
-        ran.add(requestId)
+        ran.add(TargetRun(requestId, System.nanoTime()))
         running.incrementAndGet()
         try {
             val body = call.receive<ByteArray>()
