--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
@@ -29,7 +29,9 @@
                 noted(fault) { pause(fault.instance, fault.length) }
             }
             is SoakFault.HangUp -> alone(fault.instance) {
-                noted(fault) { deployment.instances[fault.instance].signal("HUP") }
+                // A JVM ends at a SIGHUP that comes before it runs the program.
+                val instance = deployment.instances[fault.instance]
+                if (instance.isListening()) noted(fault) { instance.signal("HUP") }
             }
             is SoakFault.TargetLink -> noted(fault) {
                 disturb(deployment.targetLinks[fault.target], fault.link, fault.length)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
@@ -83,6 +83,11 @@
         ProcessBuilder("kill", "-$signal", process.pid().toString()).start().waitFor()
     }
 
+    /** Whether the program has come as far as its socket for callers. */
+    fun isListening(): Boolean = ignoringFailures {
+        Socket(InetAddress.getByName(callers.host), callers.port).close()
+    } != null
+
     /** Whether the instance says that it is ready. */
     fun isReady(): Boolean = try {
         Socket(InetAddress.getByName(addresses.ready.host), addresses.ready.port).use { socket ->
