--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -19,7 +19,9 @@
 import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
 import org.wisteriahinge.bench.soak.SOAK
+import org.wisteriahinge.bench.soak.SOAK_REGRESSIONS
 import org.wisteriahinge.bench.soak.soakCommand
+import org.wisteriahinge.bench.soak.soakRegressionsCommand
 
 /** Entry point of the measurement tools: `demo` or the name of a scenario. */
 public fun main(args: Array<String>) {
@@ -40,6 +42,7 @@
     val scenario = SCENARIOS.firstOrNull { it.name == name }
     when {
         name == "fuzz" -> if (!fuzzCommand(seed.toLong(), steps)) exitProcess(1)
+        name == SOAK_REGRESSIONS -> if (!soakRegressionsCommand()) exitProcess(1)
         name == SOAK -> if (!soakCommand(seed.toLong(), seconds, instances)) exitProcess(1)
         name == "at-most-once" -> println(atMostOnce(seed.toLong()))
         name == "log-outage" -> println(logOutage(seed.toLong()))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
@@ -9,6 +9,10 @@
 /** Name of the soak on the command line. */
 internal const val SOAK = "soak"
 
+/** Name of the run of all seeds that ever failed. */
+internal const val SOAK_REGRESSIONS = "soak-regressions"
+
+private const val TARGETS = 6
 private const val POLL_MILLIS = 20L
 private val START_LIMIT: Duration = Duration.ofSeconds(60)
 private val BEAT_PERIOD: Duration = Duration.ofMillis(1_500)
@@ -31,7 +35,9 @@
     override fun toString(): String = violations.fold(
         "soak seed $seed: $faults faults, $requests requests, $arrivals arrivals at targets, " +
             "${violations.size} promises broken"
-    ) { text, it -> "$text\n  at ${it.at.toMillis()} ms, ${it.promise}: ${it.detail}" }
+    ) { text, found ->
+        "$text\n  at ${found.at.toMillis()} ms, ${found.promise}: ${found.detail}"
+    }
 }
 
 /** Runs the program as processes under the faults of [seed], and checks what is seen outside. */
@@ -117,15 +123,23 @@
     }
 }
 
+/** Runs the seeds that ever failed, prints them, and says whether all was kept. */
+internal fun soakRegressionsCommand(): Boolean = soakRegressions
+    .map { runSoak(it.seed, it.size) }
+    .all { it }
+
 /** Runs a soak with [seed] for [seconds] of faults, prints it, and says whether all was kept. */
-internal fun soakCommand(seed: Long, seconds: Int, instances: Int): Boolean {
+internal fun soakCommand(seed: Long, seconds: Int, instances: Int): Boolean =
+    runSoak(seed, SoakSize(instances, TARGETS, Duration.ofSeconds(seconds.toLong())))
+
+private fun runSoak(seed: Long, size: SoakSize): Boolean {
     val logs = File(System.getProperty("java.io.tmpdir"), "wisteriahinge-soak-$seed")
     logs.deleteRecursively()
     logs.mkdirs()
-    val size = SoakSize(instances, targets = 6, length = Duration.ofSeconds(seconds.toLong()))
     val report = Soak(seed, size, logs).run()
     println(report)
     if (report.violations.isEmpty()) return true
-    println("replay: bin/soak --seed $seed --seconds $seconds --instances $instances; logs: $logs")
+    val sizes = "--seconds ${size.length.toSeconds()} --instances ${size.instances}"
+    println("replay: bin/soak --seed $seed $sizes; logs: $logs")
     return false
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
@@ -18,7 +18,7 @@
 private const val RELAYS = 3
 private const val LOCALHOST = "127.0.0.1"
 
-/** A store, targets behind proxies, and the program as processes that reach the store by proxies. */
+/** A store, targets and the program as processes, with proxies between them. */
 internal class SoakDeployment(size: SoakSize, logs: File) : Closeable {
     val store = StandInStore()
     val targets: PersistentList<StandInPlatformTarget> =
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
@@ -101,7 +101,9 @@
 
     private fun lateConfigurations(): List<SoakViolation> {
         val published = history.acts.filterIsInstance<SoakAct.Configured>()
-            .fold(persistentHashMapOf<Int, Duration>()) { all, it -> all.put(it.version, it.from) }
+            .fold(persistentHashMapOf<Int, Duration>()) { all, act ->
+                all.put(act.version, act.from)
+            }
         return looks().mapNotNull { (version, look) ->
             val at = published[version] ?: return@mapNotNull null
             val replacedAt = published[version + 1]
