--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
@@ -3,11 +3,12 @@
 import java.io.Closeable
 import java.io.File
 import java.net.ServerSocket
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 import java.util.concurrent.locks.ReentrantLock
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.bench.standin.StandInPlatformTarget
 import org.wisteriahinge.bench.standin.StandInStore
@@ -33,7 +34,7 @@
     /** The newest configuration that the store has accepted. */
     val version = AtomicInteger()
     private val entries = AtomicLong()
-    private val states = ConcurrentHashMap<Int, String>()
+    private val states = AtomicReference(persistentHashMapOf<Int, String>())
 
     init {
         val storePort = store.start()
@@ -64,11 +65,11 @@
     }
 
     /** Lets each target write its entry. */
-    fun beat() = targets.indices.forEach { announce(it, states[it] ?: "ready") }
+    fun beat() = targets.indices.forEach { announce(it, states.get()[it] ?: "ready") }
 
     /** Lets a target write that it is in [state]. */
     fun announce(target: Int, state: String) {
-        states[target] = state
+        states.updateAndGet { it.put(target, state) }
         val port = targetLinks[target].ownPort
         val entry = targets[target].entry(SERVICE, ZONE, port, state, entries.incrementAndGet())
         store.put("keyed.servers", targets[target].id, entry)
