Start without calls of a warm-up

On a core of 0.3 the warm-up took up to 0.9 s of each start, 0.27 s of processor time.

Change: a start makes no calls to itself; the command that records the class archive still does.

--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -28,12 +28,6 @@
 /** Part of the grace period in which new calls are still served. */
 private const val HANDOVER_SHARE = 0.45
 
-/** Calls of the warm-up: the code of a call is compiled when it has run as often. */
-private const val WARM_UP_CALLS = 40
-
-/** An instance that starts under load is more useful slow than absent. */
-private val WARM_UP_LIMIT: Duration = Duration.ofMillis(900)
-
 /** Connections to the store and to each relay; one that is not accepted in time is tried anew. */
 private val storeConnections =
     ConnectionLimits(perTarget = 4, connectTimeout = Duration.ofMillis(400))
@@ -141,7 +135,6 @@
             path.listen()
             admin.start()
             sources.start()
-            warmUp(WARM_UP_CALLS, WARM_UP_LIMIT)
             lifecycle.announce(LifecycleEvent.Started)
         } catch (e: IOException) {
             close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
@@ -50,8 +50,8 @@
 /**
  * Sends calls through a path of its own to targets within the process.
  *
- * The classes of the path are then loaded and its code is compiled before the first caller
- * arrives; without it, the first calls take several times longer on a small machine.
+ * The classes of the path are then loaded, so that the class archive that the build records holds
+ * them. A start makes no such calls: they cost it as much as they save the first callers.
  */
 internal class WarmUp(
     private val settings: CallPathSettings,
