--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
@@ -8,7 +8,7 @@
 private val SLOW_WORK: Duration = Duration.ofMillis(400)
 
 /** How long a target works when nothing disturbs it. */
-internal val USUAL_WORK: Duration = Duration.ofMillis(20)
+internal val USUAL_WORK: Duration = Duration.ofMillis(60)
 
 /** Carries faults out, each on a thread of its own, and notes when they were in effect. */
 internal class SoakFaults(
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
@@ -58,6 +58,8 @@
         Link.Delayed(Duration.ofMillis(random.nextLong(20, 300))),
         Link.Resetting,
         Link.Silent,
+        Link.NoAnswers,
+        // Work that ran and whose answer is lost is what most promises are about.
         Link.NoAnswers
     )
     return links[random.nextInt(links.size)]
