Leave 15% of the grace time to the end of the process

Change: calls in progress have 85% of the grace time, 5.1 s of 6. Work that outlasts it is work in the last sixth, which the platform does not expect to be finished.

--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -22,12 +22,12 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Before the end of the grace period by which the process must have ended by itself. */
-private val GRACE_MARGIN: Duration = Duration.ofMillis(400)
-
 /** Part of the grace period in which new calls are still served. */
 private const val HANDOVER_SHARE = 0.45
 
+/** Part of the grace period for calls in progress; a small machine needs the rest to end. */
+private const val WORK_SHARE = 0.85
+
 /** Connections to the store and to each relay; one that is not accepted in time is tried anew. */
 private val storeConnections =
     ConnectionLimits(perTarget = 4, connectTimeout = Duration.ofMillis(400))
@@ -55,8 +55,8 @@
         BackendClient(storeConnections, path.loop)
     private val sources = sources()
     private val lifecycle = LifecycleDuty(
-        settings.grace - GRACE_MARGIN,
-        Duration.ofMillis((settings.grace.toMillis() * HANDOVER_SHARE).toLong()),
+        settings.grace.share(WORK_SHARE),
+        settings.grace.share(HANDOVER_SHARE),
         clock,
         path.gateway::callsInProgress,
         ::perform
@@ -144,7 +144,7 @@
 
     /** Lets callers be sent elsewhere, then waits for the calls in progress. */
     public fun drain() {
-        lifecycle.drain(settings.grace - GRACE_MARGIN)
+        lifecycle.drain(settings.grace.share(WORK_SHARE))
     }
 
     /** Waits for a stop; the instance's own threads do not keep the process alive. */
@@ -160,3 +160,5 @@
         lifecycle.stop(STOP_TIMEOUT)
     }
 }
+
+private fun Duration.share(part: Double): Duration = Duration.ofMillis((toMillis() * part).toLong())
