Tell answers to other requests on a kept connection apart

Cause: an answer without an id counted as the answer to the request that was sent last, and a probe took any answer. A late second answer to a call could thus become the answer to a probe, and the probe's own 503, which says that nothing ran, the answer to the next call. Parts of an answer behind a whole one, or bytes on an idle connection, became the beginning of the next head. Interim answers, answers to other requests and the body of a probe were read without end; a body without a length had no limit.

Change: AnswerOwnership says whose an answer is; on a kept connection one without an id is nobody's. Bytes that belong to no answer close the connection. What is skipped is bounded, probes do not read long bodies, and a body without a length must end by the call's time limit.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
@@ -167,6 +167,8 @@
         if (end == StreamEnd.NotReached) connection.config().isAutoRead = false
     }
 
+    override fun discard() = exchange.abandon()
+
     override fun accept(content: ByteBuf) {
         if (!content.isReadable) return
         val piece = ByteBufUtil.getBytes(content)
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendAnswer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendAnswer.kt
@@ -37,6 +37,9 @@
 
     /** Stops reading from the target and delivering pieces. */
     public fun pause()
+
+    /** Closes the connection without reading the rest. */
+    public fun discard()
 }
 
 /**
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
@@ -10,8 +10,9 @@
  * A request as it is sent to a target.
  *
  * [pathAndQuery] is sent unchanged. [remaining] is the time until the head of the answer must have
- * arrived. An answer with another value in the header [expectedEcho] belongs to another request and
- * is skipped. [host] is sent as the `Host` header; null stands for the target's address.
+ * arrived, and until the end of an answer without a declared length. [ownership] tells the answer
+ * from those to other requests, which are skipped. [host] is sent as the `Host` header; null stands
+ * for the target's address.
  *
  * A request that is not [isRepeatable] is sent only on a new connection, or on one that was idle
  * for at most [ConnectionLimits.maxIdleForNonRepeatable]. With [retryOnStaleConnection], a request
@@ -24,7 +25,7 @@
     public val headers: PersistentList<HeaderField>,
     public val body: RequestBody,
     public val remaining: Duration,
-    public val expectedEcho: HeaderField? = null,
+    public val ownership: AnswerOwnership = AnswerOwnership.NextAnswer,
     public val host: String? = null,
     public val isRepeatable: Boolean = true,
     public val retryOnStaleConnection: Boolean = false
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/LoadProber.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/LoadProber.kt
@@ -15,10 +15,15 @@
     public fun read(answer: BackendAnswer, target: Target, clock: Clock): CallEvent
 }
 
-/** Probes targets for their load and passes each outcome to [report], which must not block. */
+/**
+ * Probes targets for their load and passes each outcome to [report], which must not block.
+ *
+ * Probes share the connections of calls; [ownership] tells their answers from those to calls.
+ */
 public class LoadProber(
     private val backend: BackendClient,
     private val reader: ProbeReader,
+    private val ownership: AnswerOwnership,
     private val clock: Clock,
     private val report: (CallEvent) -> Unit
 ) {
@@ -30,6 +35,7 @@
             headers = persistentListOf(),
             body = RequestBody.None,
             remaining = PROBE_TIMEOUT,
+            ownership = ownership,
             retryOnStaleConnection = true
         )
         backend.send(target.address, request, Probe(target))
@@ -38,8 +44,8 @@
     private inner class Probe(private val target: Target) : AnswerObserver {
         override fun answered(answer: BackendAnswer) {
             report(reader.read(answer, target, clock))
-            // Read to its end, because the connection can only then be reused.
-            (answer.body as? AnswerBody.Streamed)?.flow?.resume()
+            // A body that is too long to be collected is no report on load and may never end.
+            (answer.body as? AnswerBody.Streamed)?.flow?.discard()
         }
 
         override fun failed(failure: AttemptFailure, detail: String) {
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -14,17 +14,30 @@
 
 private const val FIRST_FINAL_STATUS = 200
 private const val TIMEOUT_PARAMETER = "timeout="
+private const val PROTOCOL = "HTTP/1."
+private val STATUS_LINE = Regex("""HTTP/1\.[01] \d{3}\b""")
+
+/** Most interim answers and answers to earlier requests that are read before the answer. */
+private const val MAX_SKIPPED_ANSWERS = 16
+
+/** Most bytes of such answers; a server that sends more may never stop. */
+private const val MAX_SKIPPED_BYTES = 1_048_576L
+
+/** What was read since the request was sent and does not belong to its answer. */
+private data class Skipped(val answers: Int = 0, val bytes: Long = 0) {
+    val isTooMuch: Boolean get() = answers > MAX_SKIPPED_ANSWERS || bytes > MAX_SKIPPED_BYTES
+}
 
 /** The part of an answer that is read next on the connection. */
 private sealed interface ReadState {
     /** No request is outstanding. */
     data object Idle : ReadState
 
-    /** The head of the answer to [exchange]. */
-    data class Head(val exchange: TargetExchange) : ReadState
+    /** The head of the answer to [exchange], after what was [skipped]. */
+    data class Head(val exchange: TargetExchange, val skipped: Skipped = Skipped()) : ReadState
 
     /** The rest of an interim answer or an answer to an earlier request; the head follows it. */
-    data class Skipping(val exchange: TargetExchange) : ReadState
+    data class Skipping(val exchange: TargetExchange, val skipped: Skipped) : ReadState
 
     /** The body of the answer. */
     data class Body(
@@ -52,6 +65,18 @@
     var isReused = false
         private set
 
+    /** Whether no request is outstanding. */
+    val isIdle: Boolean get() = state == ReadState.Idle
+
+    /** Whether the outstanding request is a `HEAD`, whose answer has no body. */
+    val isAnsweringHead: Boolean
+        get() = when (val current = state) {
+            ReadState.Idle -> false
+            is ReadState.Head -> current.exchange.isHead
+            is ReadState.Skipping -> current.exchange.isHead
+            is ReadState.Body -> current.exchange.isHead
+        }
+
     /** The streamed request body that is being sent; null for other requests. */
     var stream: BodyStream? = null
 
@@ -85,7 +110,7 @@
 
     private fun receiveHead(context: ChannelHandlerContext, response: HttpResponse) {
         when (val current = state) {
-            is ReadState.Head -> acceptHead(context, response, current.exchange)
+            is ReadState.Head -> acceptHead(context, response, current)
             ReadState.Idle, is ReadState.Skipping, is ReadState.Body -> context.close()
         }
     }
@@ -93,28 +118,51 @@
     private fun acceptHead(
         context: ChannelHandlerContext,
         response: HttpResponse,
-        exchange: TargetExchange
+        expected: ReadState.Head
     ) {
-        if (response.decoderResult().isFailure) {
+        val exchange = expected.exchange
+        if (response.decoderResult().isFailure || response.containsOtherHead()) {
             return failInvalid(context, exchange, "the head of the answer is not valid HTTP")
         }
-        if (response.isInterim() || response.isForOtherRequest(exchange)) {
-            state = ReadState.Skipping(exchange)
-            return
+        if (response.isInterim()) return skip(context, expected)
+        when (response.ownerFor(exchange)) {
+            AnswerOwner.ThisRequest -> startBody(context, response, exchange)
+            AnswerOwner.OtherRequest -> skip(context, expected)
+            AnswerOwner.Unknown ->
+                failInvalid(context, exchange, "the answer does not say whose it is")
         }
+    }
+
+    private fun startBody(
+        context: ChannelHandlerContext,
+        response: HttpResponse,
+        exchange: TargetExchange
+    ) {
         val receiver = AnswerReceiver.of(context.channel(), exchange, response)
         keepAlive = response.keepAliveTimeout()
         state = ReadState.Body(exchange, receiver, HttpUtil.isKeepAlive(response))
         receiver.start()
     }
 
+    private fun skip(context: ChannelHandlerContext, expected: ReadState.Head) {
+        val skipped = expected.skipped.copy(answers = expected.skipped.answers + 1)
+        state = ReadState.Skipping(expected.exchange, skipped)
+        if (skipped.isTooMuch) failSkipping(context, expected.exchange)
+    }
+
+    private fun failSkipping(context: ChannelHandlerContext, exchange: TargetExchange) =
+        failInvalid(context, exchange, "too much arrived that does not belong to the answer")
+
+    /** Whether a head that ended in the middle of a field precedes the answer's own. */
+    private fun HttpResponse.containsOtherHead(): Boolean =
+        headers().any { it.value.contains(PROTOCOL) && STATUS_LINE.containsMatchIn(it.value) }
+
     private fun HttpResponse.isInterim(): Boolean = status().code() < FIRST_FINAL_STATUS
 
-    /** A target may send a second answer to an earlier request on the connection. */
-    private fun HttpResponse.isForOtherRequest(exchange: TargetExchange): Boolean {
-        val expectedEcho = exchange.request.expectedEcho ?: return false
-        val repeated = headers().get(expectedEcho.name) ?: return false
-        return repeated != expectedEcho.value
+    private fun HttpResponse.ownerFor(exchange: TargetExchange): AnswerOwner {
+        val ownership = exchange.request.ownership
+        val repeated = ownership.headerName?.let { headers().getAll(it) }.orEmpty()
+        return ownership.ownerOf(repeated, isReused)
     }
 
     private fun HttpResponse.keepAliveTimeout(): Duration? = headers().get("Keep-Alive")
@@ -127,13 +175,27 @@
 
     private fun receiveContent(context: ChannelHandlerContext, content: HttpContent) {
         when (val current = state) {
-            is ReadState.Skipping ->
-                if (content is LastHttpContent) state = ReadState.Head(current.exchange)
+            is ReadState.Skipping -> skipContent(context, content, current)
             is ReadState.Body -> receiveBody(context, content, current)
             ReadState.Idle, is ReadState.Head -> Unit
         }
     }
 
+    private fun skipContent(
+        context: ChannelHandlerContext,
+        content: HttpContent,
+        current: ReadState.Skipping
+    ) {
+        val bytes = current.skipped.bytes + content.content().readableBytes()
+        val skipped = current.skipped.copy(bytes = bytes)
+        when {
+            content.decoderResult().isFailure || skipped.isTooMuch ->
+                failSkipping(context, current.exchange)
+            content is LastHttpContent -> state = ReadState.Head(current.exchange, skipped)
+            else -> state = current.copy(skipped = skipped)
+        }
+    }
+
     private fun receiveBody(
         context: ChannelHandlerContext,
         content: HttpContent,
@@ -153,7 +215,8 @@
         idleSinceNanos = System.nanoTime()
         body.exchange.detach()
         context.channel().config().isAutoRead = true
-        if (!body.reusable || !requestWritten) context.close()
+        val hasRest = context.pipeline().get(AnswerDecoder::class.java).hasUnreadBytes
+        if (!body.reusable || !requestWritten || hasRest) context.close()
         releaseToPool(context.channel())
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -7,14 +7,13 @@
 import io.netty.channel.pool.AbstractChannelPoolMap
 import io.netty.channel.pool.FixedChannelPool
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import java.io.Closeable
 import java.net.InetSocketAddress
 import java.time.Duration
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.model.Address
 
-private const val CODEC = "codec"
 private const val HANDLER = "handler"
 
 /** The pool applies no timeout, because each exchange has its own timer. */
@@ -127,11 +126,12 @@
 
     private inner class PoolHandler(private val address: Address) : AbstractChannelPoolHandler() {
         override fun channelCreated(channel: Channel) {
-            channel.pipeline().addLast(CODEC, HttpClientCodec())
-            channel.pipeline().addLast(
-                HANDLER,
-                TargetConnectionHandler({ pools.get(address).release(it) }, ::resendOnNewConnection)
+            val handler = TargetConnectionHandler(
+                { pools.get(address).release(it) },
+                ::resendOnNewConnection
             )
+            channel.pipeline().addLast(HttpRequestEncoder(), AnswerDecoder(handler))
+            channel.pipeline().addLast(HANDLER, handler)
         }
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpMethod
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import org.wisteriahinge.core.call.AttemptFailure
@@ -23,6 +24,9 @@
     private var connection: ConnectionState = ConnectionState.Waiting
     private var timer: Future<*>? = null
 
+    /** Whether the answer has no body because of the request's method. */
+    val isHead: Boolean get() = request.method == HttpMethod.HEAD.name()
+
     /** Whether an answer or a failure was reported, or the exchange was abandoned. */
     private var isSettled = false
     private var isAbandoned = false
@@ -44,8 +48,13 @@
         if (connection is ConnectionState.Connected) connection = ConnectionState.Waiting
     }
 
+    /** A body without a declared length must end by the time-out, because it may never end. */
     override fun answered(answer: BackendAnswer) {
-        if (settle()) observer.answered(answer)
+        if (isSettled) return
+        isSettled = true
+        val body = answer.body
+        if (body !is AnswerBody.Streamed || body.lengthBytes != null) timer?.cancel(false)
+        observer.answered(answer)
     }
 
     override fun failed(failure: AttemptFailure, detail: String) {
@@ -57,10 +66,12 @@
     }
 
     override fun completed() {
+        timer?.cancel(false)
         if (!isAbandoned) observer.completed()
     }
 
     override fun truncated(detail: String) {
+        timer?.cancel(false)
         if (!isAbandoned) observer.truncated(detail)
     }
 
@@ -73,12 +84,17 @@
 
     /** Fails the exchange on time-out; without a connection, the request was not sent. */
     private fun expire() {
+        val limit = "${request.remaining.toMillis()} ms"
+        if (isSettled) {
+            truncated("no end of the answer within $limit")
+            return abandon()
+        }
         val failure = if (connection == ConnectionState.Waiting) {
             AttemptFailure.NotSent
         } else {
             AttemptFailure.TimedOut
         }
-        failed(failure, "no answer within ${request.remaining.toMillis()} ms")
+        failed(failure, "no answer within $limit")
         abandon()
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -6,6 +6,7 @@
 import org.wisteriahinge.adapters.RetryContext
 import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
+import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.BackendRequest
 import org.wisteriahinge.adapters.backend.HeaderField
 import org.wisteriahinge.adapters.backend.RequestBody
@@ -15,13 +16,13 @@
 /**
  * A caller's request together with its headers and body, which the `calls` duty does not need.
  *
- * [echoedHeader] is the request header that the answer must repeat; null if there is none.
+ * [ownership] tells the answer from those to other requests.
  */
 internal class ForwardedCall(
     val request: CallRequest,
     private val headers: PersistentList<HeaderField>,
     private val body: RequestBody,
-    private val echoedHeader: HeaderField?
+    private val ownership: AnswerOwnership
 ) {
     /** Whether another attempt can still send the body. */
     val isReplayable: Boolean
@@ -44,7 +45,7 @@
                 .addAll(retryContextHeaders(attempt, dialect)),
             body = body,
             remaining = remaining,
-            expectedEcho = echoedHeader,
+            ownership = ownership,
             host = request.host?.takeIf { dialect.forwardsHost },
             isRepeatable = attempt.isRepeatable
         )
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
@@ -8,6 +8,7 @@
 import org.wisteriahinge.adapters.RetryContext
 import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
+import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.HeaderField
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), in lower case. */
@@ -61,17 +62,18 @@
 
     /** The target's headers that are passed on to the caller. */
     fun delivered(all: List<HeaderField>): List<HeaderField> = all.without(notDelivered)
-
-    /** The field of [headers] that the answer must repeat; null if the dialect requires none. */
-    fun echoOf(headers: List<HeaderField>): HeaderField? =
-        when (val validation = dialect.answerValidation) {
-            AnswerValidation.None -> null
-            is AnswerValidation.Echoed -> headers.firstOrNull {
-                it.name.equals(validation.requestIdHeader, ignoreCase = true)
-            }
-        }
 }
 
+/** How the answer to a request with [headers] is told from those to other requests. */
+public fun WireDialect.ownershipOf(headers: List<HeaderField>): AnswerOwnership =
+    when (val validation = answerValidation) {
+        AnswerValidation.None -> AnswerOwnership.NextAnswer
+        is AnswerValidation.Echoed ->
+            headers.firstOrNull { it.name.equals(validation.requestIdHeader, ignoreCase = true) }
+                ?.let(AnswerOwnership::Repeats)
+                ?: AnswerOwnership.RepeatsNothing(validation.requestIdHeader)
+    }
+
 /** Removes the fields in [names] and those that a `Connection` header names. */
 private fun List<HeaderField>.without(names: PersistentSet<String>): List<HeaderField> {
     val named = filter { it.name.equals("Connection", ignoreCase = true) }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import java.time.Instant
+import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.RequestBody
 import org.wisteriahinge.core.call.CallRequest
 import org.wisteriahinge.core.model.CallId
@@ -23,15 +24,20 @@
     /** Combines the head with [body] to the call that is submitted and forwarded. */
     fun withBody(body: RequestBody): ForwardedCall {
         val fields = headers.toFields()
-        val echo = services.rules.echoOf(fields)
+        val ownership = services.dialect.ownershipOf(fields)
         return ForwardedCall(
-            callRequest(body, echo?.value),
+            callRequest(body, ownership.requestId()),
             services.rules.forwarded(fields),
             body,
-            echo
+            ownership
         )
     }
 
+    private fun AnswerOwnership.requestId(): String? = when (this) {
+        is AnswerOwnership.Repeats -> header.value
+        AnswerOwnership.NextAnswer, is AnswerOwnership.RepeatsNothing -> null
+    }
+
     private fun callRequest(body: RequestBody, callerRequestId: String?): CallRequest {
         val settings = services.settings
         val authorization = headers[HttpHeaderNames.AUTHORIZATION]
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/AnswerIntegrityTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/AnswerIntegrityTest.kt
@@ -76,9 +76,11 @@
         }
         CallerFixture(listOf(slow)).use { fixture ->
             fixture.caller().use { idle ->
+                // Only connections that the server has accepted are idle.
+                expectThat(idle.send(get()).receive()).isNotNull()
                 fixture.caller().use { busy ->
                     busy.send(get())
-                    Thread.sleep(50)
+                    await("forwarded") { slow.requests.size == 2 }
                     fixture.closeIdle()
                     expectThat(idle.isClosedByServer()).isTrue()
                     expectThat(busy.receive()).isNotNull().get { text }.isEqualTo("whole")
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
@@ -9,6 +9,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -112,19 +113,22 @@
 
 /** A backend server on plain sockets; [serve] writes the answer to each request. */
 class RawTarget(private val serve: RawConnection.(RawMessage) -> Unit) : Closeable {
-    private val server = ServerSocket(0, 256, InetAddress.getLoopbackAddress())
+    private val server =
+        ServerSocket(0, 256, InetAddress.getLoopbackAddress()).apply { soTimeout = ACCEPT_MILLIS }
     private val open = ConcurrentLinkedQueue<Socket>()
     val connections = AtomicInteger()
     val requests = ConcurrentLinkedQueue<RawMessage>()
     val endedEarly = ConcurrentLinkedQueue<String>()
     val port: Int get() = server.localPort
 
-    init {
-        thread(isDaemon = true) {
+    private val acceptor = thread(isDaemon = true) {
+        while (!server.isClosed) {
             try {
-                while (true) accept(server.accept())
+                accept(server.accept())
+            } catch (_: SocketTimeoutException) {
+                continue
             } catch (_: SocketException) {
-                return@thread
+                break
             }
         }
     }
@@ -147,10 +151,19 @@
         }
     }
 
+    /**
+     * Waits for the acceptor: while it is blocked in `accept`, the kernel goes on to accept
+     * connections on a closed socket, and nobody answers them.
+     */
     override fun close() {
         server.close()
+        acceptor.join()
         open.forEach { it.close() }
     }
+
+    private companion object {
+        const val ACCEPT_MILLIS = 20
+    }
 }
 
 /** Polls [condition] until it holds, for about 10 seconds. */
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -18,6 +18,7 @@
 import org.wisteriahinge.adapters.caller.CallerServerSettings
 import org.wisteriahinge.adapters.caller.CredentialHasher
 import org.wisteriahinge.adapters.caller.ListeningSocket
+import org.wisteriahinge.adapters.caller.ownershipOf
 import org.wisteriahinge.adapters.metrics.CallMetrics
 import org.wisteriahinge.adapters.metrics.InstanceMetrics
 import org.wisteriahinge.core.call.CallEffect
@@ -49,7 +50,8 @@
  * Runs the calls duty with the caller server that feeds it and the backend client that sends its
  * attempts.
  *
- * Effects for other duties, such as claims and demand reports, go to [otherEffects].
+ * Effects for other duties, such as claims and demand reports, go to [otherEffects]. Lines on calls
+ * go to the log, or to [courseSink] if there is one.
  */
 internal class CallPipeline(
     settings: CallPipelineSettings,
@@ -58,21 +60,27 @@
     clock: Clock,
     private val otherEffects: EffectSink<CallEffect>,
     answers: (CallGateway) -> AnswerListener? = { null },
-    courseSink: CourseSink = CallTraceLog(registry),
+    courseSink: CourseSink? = null,
     socket: ListeningSocket? = null
 ) : Closeable {
-    private val metrics = CallMetrics(registry)
+    private val metrics = CallMetrics()
+    private val callLog = CallTraceLog()
     val ring = Ring<CallMessage>(
         "calls",
         CALLS_RING_CAPACITY,
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     val gateway = CallGateway(ring, MAX_CALLS)
-    private val courses = CourseDuty(clock, courseSink)
+    private val courses = CourseDuty(clock, courseSink ?: callLog)
     private val duty = CallsDuty(ring, initial, ::perform, clock)
-    private val instanceMetrics = InstanceMetrics(registry, gateway::callsInProgress)
+    private val instanceMetrics = InstanceMetrics(gateway::callsInProgress)
     private val backend = BackendClient(settings.connections)
-    private val prober = LoadProber(backend, settings.probeReader, clock) { offer(it) }
+    private val prober = LoadProber(
+        backend,
+        settings.probeReader,
+        settings.server.dialect.ownershipOf(emptyList()),
+        clock
+    ) { offer(it) }
     private val server = CallerServer(
         settings.server,
         CallerServerDependencies(
@@ -87,9 +95,11 @@
         )
     )
 
-    /** The registry with all metrics; the runtime metrics are added on first access. */
+    /** The registry with all metrics; those of calls and of the JVM are added on first access. */
     val metricsRegistry: PrometheusRegistry by lazy {
-        instanceMetrics.addJvmMetrics()
+        metrics.register(registry)
+        callLog.register(registry)
+        instanceMetrics.register(registry)
         registry
     }
 
