Give new deployments the burst of their plans at once

Cause: the bucket of a share starts empty, so that a share that moves admits no burst twice. In a new deployment nobody has used the tokens, yet a plan of one call a second admitted none until its bucket had filled: the demo's '0 of 60 admitted', and the first lookups of a second customer.

Change: the ledger sums up all grants of an allowance. Parts beyond that sum were never held by any instance, and their tokens are there at once. After lost records everything counts as held before.

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/LimitStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/LimitStage.kt
@@ -5,8 +5,10 @@
 import org.wisteriahinge.core.limits.DEMAND_REPORT_INTERVAL
 import org.wisteriahinge.core.limits.LimitScope
 import org.wisteriahinge.core.limits.LimitVerdict
+import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.limits.acquire
 import org.wisteriahinge.core.limits.demands
+import org.wisteriahinge.core.limits.withCredit
 import org.wisteriahinge.core.model.Allowance
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Execution
@@ -59,15 +61,26 @@
  * Applies the shares that may be used from now on.
  *
  * Buckets are first refilled at the previous shares and then capped to the new ones, so that no
- * tokens move along with a share. A customer's bucket starts to fill when its share arrives.
+ * tokens move along with a share. A customer's bucket starts to fill when its share arrives; only
+ * what no instance held before is full at once.
  */
 internal fun CallsState.sharesChanged(event: CallEvent.SharesChanged, now: Instant): CallsState {
     val before = refilled(limits.usage.keys, now)
     val scope = LimitScope.Leased(event.shares)
     return before.copy(limits = before.limits.copy(scope = scope))
+        .credited(event.shares, now)
         .refilled(limits.usage.keys + event.shares.leased.keys, now)
 }
 
+private fun CallsState.credited(shares: UsableShares, now: Instant): CallsState {
+    val allowances = allowances()
+    return shares.leased.entries.fold(this) { state, (customer, share) ->
+        allowances[customer]
+            ?.let { state.copy(limits = state.limits.withCredit(customer, share, it, now)) }
+            ?: state
+    }
+}
+
 private fun CallsState.refilled(customers: Set<CustomerId>, now: Instant): CallsState {
     val allowances = allowances()
     return customers.fold(this) { state, customer ->
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/CallLimits.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/CallLimits.kt
@@ -10,7 +10,11 @@
 
 private const val NANOS_PER_SECOND = 1e9
 
-/** The [tokens] at [filledAt]. Rate and capacity depend on the share; a new bucket is empty. */
+/**
+ * The [tokens] at [filledAt]. Rate and capacity depend on the share.
+ *
+ * A new bucket is empty, but for the parts of the allowance that no instance ever held.
+ */
 public data class TokenBucket(val tokens: Double, val filledAt: Instant) {
     internal fun filled(perSecond: Double, capacity: Double, now: Instant): TokenBucket {
         val elapsed = Duration.between(filledAt, now)
@@ -46,11 +50,16 @@
     public data class Leased(val shares: UsableShares) : LimitScope
 }
 
-/** The limits and the usage of each customer at this instance. Part of `CallsState`. */
+/**
+ * The limits and the usage of each customer at this instance. Part of `CallsState`.
+ *
+ * @property credited the parts of each allowance whose tokens the buckets got when the share came.
+ */
 public data class CallLimits(
     val settings: LimitsSettings = LimitsSettings(),
     val scope: LimitScope = LimitScope.WholePlan(),
     val usage: PersistentMap<CustomerId, CustomerUsage> = persistentHashMapOf(),
+    val credited: PersistentMap<CustomerId, ShareUnits> = persistentHashMapOf(),
     val reportedAt: Instant = Instant.MIN,
     /** Instances that share the leased part; the number of slots until the members are known. */
     val liveInstances: Int = settings.slots
@@ -95,6 +104,33 @@
     }
 }
 
+/**
+ * Adds the tokens of the parts of [share] that no instance ever held, once.
+ *
+ * Without them, a new deployment would refuse the first calls of small plans until the rate of the
+ * plan has filled the buckets.
+ */
+internal fun CallLimits.withCredit(
+    customer: CustomerId,
+    share: LeasedShare,
+    allowance: Allowance,
+    now: Instant
+): CallLimits {
+    val added = share.neverHeld.saturatingMinus(credited[customer] ?: ShareUnits.None)
+    if (added == ShareUnits.None) return this
+    val usage = usageOf(customer, now)
+    val calls = usage.calls.tokens + allowance.burstCalls.toDouble() * added.calls / ALL_UNITS
+    val bytes = usage.bytes.tokens + allowance.burstBytes.toDouble() * added.bytes / ALL_UNITS
+    val next = usage.copy(
+        calls = usage.calls.copy(tokens = calls),
+        bytes = usage.bytes.copy(tokens = bytes)
+    )
+    return copy(
+        usage = this.usage.put(customer, next),
+        credited = credited.put(customer, share.neverHeld)
+    )
+}
+
 private val WHOLE_ALLOWANCE = ShareUnits(ALL_UNITS, ALL_UNITS, ALL_UNITS)
 
 /** The usable part of an allowance: [leased], and the part of the static slot [slot] of [slots]. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsDecide.kt
@@ -40,7 +40,11 @@
     if (holding.sequence != batch.sequence) return this
     val unread = lease.requestedSequence > batch.sequence
     val granted = if (unread) holding.lowerBound.atMost(lease.requested) else holding.lowerBound
-    val next = lease.copy(usable = granted, until = holding.until)
+    val next = lease.copy(
+        usable = granted,
+        until = holding.until,
+        neverHeld = lease.neverHeld + holding.neverHeld
+    )
     return stepLease(customer, next, LeaseTrigger.Granted)
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsEvent.kt
@@ -40,8 +40,17 @@
 /** The static slot with the number [slot], usable until [usableUntil]. */
 public data class UsableSlot(val slot: Int, val usableUntil: Instant)
 
-/** A leased share, usable until [usableUntil]. */
-public data class LeasedShare(val grants: ShareUnits, val usableUntil: Instant)
+/**
+ * A leased share, usable until [usableUntil].
+ *
+ * [neverHeld] sums up the parts that no instance held before they were granted here. It only grows;
+ * nobody has used the tokens of these parts.
+ */
+public data class LeasedShare(
+    val grants: ShareUnits,
+    val usableUntil: Instant,
+    val neverHeld: ShareUnits = ShareUnits.None
+)
 
 /** An effect of a decision on shares, performed by the `limits` duty's effect sink. */
 public sealed interface LimitsEffect {
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/LimitsState.kt
@@ -14,13 +14,15 @@
  * back.
  * @property requested the share in the newest request.
  * @property requestedSequence the sequence number of the batch with the newest request.
+ * @property neverHeld the sum of the parts that no instance held before they were granted here.
  */
 public data class Lease(
     val state: LeaseState = LeaseState.Idle,
     val usable: ShareUnits = ShareUnits.None,
     val until: Instant = Instant.MIN,
     val requested: ShareUnits = ShareUnits.None,
-    val requestedSequence: Long = 0
+    val requestedSequence: Long = 0,
+    val neverHeld: ShareUnits = ShareUnits.None
 )
 
 /** The static slot that this instance holds until the end of its term, [until]. */
@@ -55,7 +57,7 @@
         leased = leases.entries.filter { it.value.state == LeaseState.Held }
             .fold(persistentHashMapOf()) { all, (customer, lease) ->
                 val end = lease.until.minus(settings.maxClockSkew)
-                all.put(customer, LeasedShare(lease.usable, end))
+                all.put(customer, LeasedShare(lease.usable, end, lease.neverHeld))
             },
         slot = slot?.let { UsableSlot(it.slot, it.until.minus(settings.maxClockSkew)) }
     )
--- a/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/limits/ShareLedger.kt
@@ -11,11 +11,13 @@
  * The share of one allowance that an instance holds.
  *
  * A reader that missed records knows only bounds of the granted share, [lowerBound] and
- * [upperBound]; they are equal when no record was missed.
+ * [upperBound]; they are equal when no record was missed. The part [neverHeld] of the newest grant
+ * was not held by any instance before.
  */
 public data class Holding(
     val lowerBound: ShareUnits,
     val upperBound: ShareUnits,
+    val neverHeld: ShareUnits,
     val demand: ShareUnits,
     val until: Instant,
     val sequence: Long
@@ -34,6 +36,8 @@
  * @property lostBefore records below this offset were not read.
  * @property lostUntil time after which no share from an unread record is in force.
  * @property slotsLostUntil time after which no slot from an unread record is in force.
+ * @property hasLostRecords whether any record of the stream was not read.
+ * @property everGranted the sum of all grants of each allowance so far, at most the leased part.
  */
 public data class ShareLedger(
     val settings: LimitsSettings,
@@ -43,14 +47,16 @@
     val slotsLostUntil: Instant = Instant.MIN,
     val shares: PersistentMap<CustomerId, PersistentMap<InstanceId, Holding>> =
         persistentHashMapOf(),
-    val slots: PersistentMap<Int, SlotHolding> = persistentHashMapOf()
+    val slots: PersistentMap<Int, SlotHolding> = persistentHashMapOf(),
+    val hasLostRecords: Boolean = false,
+    val everGranted: PersistentMap<CustomerId, ShareUnits> = persistentHashMapOf()
 ) {
     /** Continues at [earliest]; the records before it are lost to this reader. */
     internal fun resumedAt(earliest: Long, now: Instant): ShareLedger {
         if (earliest == 0L && nextOffset == 0L) return this
         // After a restart of the stream, read offsets may refer to the old one and prove nothing.
         val lost = if (earliest < nextOffset) Long.MAX_VALUE else earliest
-        return copy(nextOffset = earliest, lostBefore = lost)
+        return copy(nextOffset = earliest, lostBefore = lost, hasLostRecords = true)
             .copy(lostUntil = endOf(now, settings.leaseTerm))
             .copy(slotsLostUntil = endOf(now, settings.slotTerm))
     }
@@ -92,17 +98,36 @@
         val certainlyTaken = others.values.fold(ShareUnits.None) { sum, held ->
             sum + held.lowerBound
         }
+        val granted = entry.want.atMost(ShareUnits.Leased.saturatingMinus(possiblyTaken))
+        val mostGranted = entry.want.atMost(ShareUnits.Leased.saturatingMinus(certainlyTaken))
+        val kept = own?.takeIf { isInForce(it.until, batch.at) }
         val holding = Holding(
-            lowerBound = entry.want.atMost(ShareUnits.Leased.saturatingMinus(possiblyTaken)),
-            upperBound = entry.want.atMost(ShareUnits.Leased.saturatingMinus(certainlyTaken)),
+            lowerBound = granted,
+            upperBound = mostGranted,
+            neverHeld = granted.saturatingMinus(kept?.upperBound ?: ShareUnits.None)
+                .atMost(neverHeld(entry.customer)),
             demand = entry.demand,
             until = batch.until,
             sequence = batch.sequence
         )
-        val kept = others.entries.fold(persistentHashMapOf<InstanceId, Holding>()) { all, other ->
-            all.put(other.key, other.value)
+        val inForce = others.entries.fold(persistentHashMapOf<InstanceId, Holding>()) { all, next ->
+            all.put(next.key, next.value)
         }
-        return copy(shares = shares.put(entry.customer, kept.put(batch.instance, holding)))
+        val added = mostGranted.saturatingMinus(kept?.lowerBound ?: ShareUnits.None)
+        return copy(shares = shares.put(entry.customer, inForce.put(batch.instance, holding)))
+            .granted(entry.customer, added)
+    }
+
+    /** The part of [customer]'s leased allowance that no instance ever held. */
+    private fun neverHeld(customer: CustomerId): ShareUnits = if (hasLostRecords) {
+        ShareUnits.None
+    } else {
+        ShareUnits.Leased.saturatingMinus(everGranted[customer] ?: ShareUnits.None)
+    }
+
+    private fun granted(customer: CustomerId, added: ShareUnits): ShareLedger {
+        val sum = (everGranted[customer] ?: ShareUnits.None) + added
+        return copy(everGranted = everGranted.put(customer, sum.atMost(ShareUnits.Leased)))
     }
 
     private fun applySlot(batch: ShareBatch, entry: ShareEntry.Slot): ShareLedger {
--- a/core/src/test/kotlin/org/wisteriahinge/core/limits/ShareLedgerTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/limits/ShareLedgerTest.kt
@@ -65,4 +65,37 @@
         expectThat(fold(want("a", 1, 0, 0), want("b", 1, 0, 62)).slots[0]?.instance)
             .isEqualTo(InstanceId("b"))
     }
+
+    private fun ShareLedger.neverHeld(instance: String) =
+        shares[customer]?.get(InstanceId(instance))?.neverHeld?.calls
+
+    /** Guards against a burst that is admitted twice, by an earlier holder and by the next. */
+    @Test
+    fun `a part that was returned does not count as never held`() {
+        val ledger = fold(
+            want("a", 1, 300, 0),
+            want("b", 1, 300, 0),
+            want("a", 2, 0, 1),
+            want("c", 1, 600, 2)
+        )
+        expectThat(ledger.neverHeld("b")).isEqualTo(300)
+        expectThat(ledger.held("c")).isEqualTo(600)
+        expectThat(ledger.neverHeld("c")).isEqualTo(300)
+    }
+
+    /** Guards against a holder that renews its share and gets the burst again. */
+    @Test
+    fun `a renewal grants nothing that was never held`() {
+        val ledger = fold(want("a", 1, 300, 0), want("a", 2, 300, 10))
+        expectThat(ledger.neverHeld("a")).isEqualTo(0)
+    }
+
+    /** Guards against a burst that was used under records that this reader did not see. */
+    @Test
+    fun `after lost records nothing counts as never held`() {
+        val ledger = ShareLedger(LimitsSettings()).resumedAt(earliest = 5, start)
+            .apply(ReadShares(5, want("a", 1, 300, 100)))
+        expectThat(ledger.held("a")).isEqualTo(300)
+        expectThat(ledger.neverHeld("a")).isEqualTo(0)
+    }
 }
