Keep one malformed record or failed thread from stopping a process

Cause: an entry with a warm-up time beyond the range of an instant made the decision on all entries read with it fail; the text of a deeply nested value overflowed the stack, which ended the thread that follows the topic; a record whose decoding failed otherwise was read again and again.

--- a/app/src/main/kotlin/org/wisteriahinge/app/HangUp.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/HangUp.kt
@@ -7,7 +7,7 @@
 private val logger = KotlinLogging.logger {}
 
 /** Commands that run until SIGTERM. */
-private val longRunningCommands = persistentSetOf("run", "front")
+internal val longRunningCommands = persistentSetOf("run", "front")
 
 /**
  * Makes a process that runs [command] until SIGTERM ignore SIGHUP, which would end it by default.
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
@@ -2,14 +2,19 @@
 
 import java.time.Clock
 import java.time.Duration
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallsDecision
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
 import org.wisteriahinge.core.call.tickDueAt
 import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Refusal
+import org.wisteriahinge.core.model.RefusalReason
 
 /** Receives the effects for one call; implemented by the front end that handles the call. */
 public fun interface CallPort {
@@ -52,13 +57,24 @@
             ports = ports.put(event.request.callId, message.port)
         }
         val now = clock.instant()
-        val decision = state.decide(event, now)
+        val decision = decideOrRefuse(event, now)
         state = decision.state
         if (event == CallEvent.Ticked) tickedAt = now
         dueAt = maxOf(state.tickDueAt(tickedAt), tickedAt + MIN_TICK_INTERVAL)
         decision.effects.forEach(::perform)
     }
 
+    /** A call whose arrival cannot be decided on was not sent; its caller is told at once. */
+    private fun decideOrRefuse(event: CallEvent, now: Instant): CallsDecision = try {
+        state.decide(event, now)
+    } catch (e: RuntimeException) {
+        if (event is CallEvent.Arrived) {
+            val refusal = Refusal(RefusalReason.InstanceOverloaded, Execution.NotRun)
+            perform(CallEffect.Refuse(event.request.callId, refusal))
+        }
+        throw e
+    }
+
     private fun perform(effect: CallEffect) {
         if (effect !is CallEffect.ForCall) return effects.perform(effect)
         ports[effect.callId]?.accept(effect)
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/Duty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/Duty.kt
@@ -9,8 +9,9 @@
  * A thread with a single task. A subclass owns state that no other thread modifies.
  *
  * [runOnce] is called repeatedly until [stop] and blocks while there is nothing to do. An exception
- * in it is logged and the duty continues with the next message: the state is replaced only after a
- * decision succeeded, so it stays consistent.
+ * or a stack overflow in it is logged and the duty continues with the next message: the state is
+ * replaced only after a decision succeeded, so it stays consistent. Any other error ends the thread
+ * and reaches the handler of uncaught exceptions, which must end the process.
  */
 public abstract class Duty(public val name: String) {
     private val thread = Thread(::runUntilInterrupted, "duty-$name").apply { isDaemon = true }
@@ -41,8 +42,13 @@
             } catch (_: InterruptedException) {
                 return
             } catch (e: RuntimeException) {
-                logger.error(e) { "duty $name failed to handle a message and goes on to the next" }
+                logFailure(e)
+            } catch (e: StackOverflowError) {
+                logFailure(e)
             }
         }
     }
+
+    private fun logFailure(cause: Throwable) =
+        logger.error(cause) { "duty $name failed to handle a message and goes on to the next" }
 }
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
@@ -93,7 +93,7 @@
         success: (PersistentList<R>, Long) -> WatchEvent<R>
     ): WatchEvent<R> = mapBoth(
         success = { read ->
-            success(read.records.mapNotNull(decode).toPersistentList(), read.nextOffset)
+            success(read.records.mapNotNull(::decodeOrSkip).toPersistentList(), read.nextOffset)
         },
         failure = { failure ->
             logger.info { "$topicName: ${failure.message}" }
@@ -103,4 +103,12 @@
             }
         }
     )
+
+    /** An exception would end the read, and the next one would fail at the same record. */
+    private fun decodeOrSkip(record: KeyedRecord): R? = try {
+        decode(record)
+    } catch (e: RuntimeException) {
+        logger.error(e) { "$topicName: skipping the record '${record.key}' at ${record.offset}" }
+        null
+    }
 }
--- /dev/null
+++ b/runtime/src/test/kotlin/org/wisteriahinge/runtime/CallsDutyTest.kt
@@ -0,0 +1,70 @@
+package org.wisteriahinge.runtime
+
+import java.time.Clock
+import java.time.Duration
+import java.time.Instant
+import java.time.ZoneId
+import java.time.ZoneOffset
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import org.junit.jupiter.api.Test
+import org.wisteriahinge.core.call.CallEffect
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.call.EarlyCallPolicy
+import org.wisteriahinge.core.call.HeldCalls
+import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.routing.RoutingPolicy
+import org.wisteriahinge.core.routing.RoutingState
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+/** Guards against a caller that waits for its deadline because the decision on its call failed. */
+class CallsDutyTest {
+    /** A time at which each computation of a later time fails. */
+    private object LastInstant : Clock() {
+        override fun instant(): Instant = Instant.MAX
+
+        override fun getZone(): ZoneId = ZoneOffset.UTC
+
+        override fun withZone(zone: ZoneId): Clock = this
+    }
+
+    private val request = CallRequest(
+        callId = CallId(1),
+        credential = null,
+        method = "GET",
+        path = "/",
+        idempotencyKey = null,
+        digest = null,
+        deadline = Instant.MAX,
+        depth = 0,
+        retriesAllowed = true,
+        bodyBytes = 0,
+        replayable = true,
+        host = "h",
+        arrivedAt = Instant.MAX,
+        callerRequestId = null
+    )
+
+    @Test
+    fun `a call whose decision fails is refused as not run`() {
+        val ring = Ring<CallMessage>("calls", 16, reserved = 8)
+        val state = CallsState(
+            Configuration.Empty,
+            RoutingState(RoutingPolicy.RoundRobin, Zone("a"), seed = 1),
+            held = HeldCalls(EarlyCallPolicy.Held(Duration.ofMillis(400)))
+        )
+        val answer = CompletableFuture<CallEffect>()
+        val duty = CallsDuty(ring, state, { }, LastInstant)
+        ring.offer(CallMessage(CallEvent.Arrived(request)) { answer.complete(it) })
+        duty.start()
+        val refused = answer.get(10, TimeUnit.SECONDS) as CallEffect.Refuse
+        expectThat(refused.refusal.execution).isEqualTo(Execution.NotRun)
+        duty.stop(Duration.ofSeconds(1))
+    }
+}
--- a/runtime/src/test/kotlin/org/wisteriahinge/runtime/TopicWatchDutyTest.kt
+++ b/runtime/src/test/kotlin/org/wisteriahinge/runtime/TopicWatchDutyTest.kt
@@ -5,6 +5,7 @@
 import java.time.Clock
 import java.time.Duration
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -13,6 +14,7 @@
 import org.wisteriahinge.core.watch.WatchTiming
 import org.wisteriahinge.core.watch.WatchUpdate
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isTrue
 
@@ -50,4 +52,35 @@
         expectThat(topic.reads.get()).isGreaterThanOrEqualTo(20)
         duty.stop(Duration.ofSeconds(1))
     }
+
+    /** A topic with two records, which are read first. */
+    private class TwoRecords : KeyedTopic {
+        override fun newest(): Result<TopicRecords, TopicFailure> = Ok(
+            TopicRecords(
+                persistentListOf(KeyedRecord("bad", 0, null), KeyedRecord("good", 1, null)),
+                2
+            )
+        )
+
+        override fun changes(from: Long, waitUpTo: Duration): Result<TopicRecords, TopicFailure> {
+            Thread.sleep(waitUpTo.toMillis())
+            return Ok(TopicRecords(persistentListOf(), from))
+        }
+    }
+
+    /** Guards against a record that is read again and again while the others are never used. */
+    @Test
+    fun `a record that fails to decode is skipped`() {
+        val news = LinkedBlockingQueue<WatchUpdate<String>>()
+        val decode = { record: KeyedRecord ->
+            if (record.key == "bad") error("not expected by the decoder") else record.key
+        }
+        val duty =
+            TopicWatchDuty("test", TwoRecords(), pace, 1, Clock.systemUTC(), decode, news::add)
+        duty.start()
+        val newest = generateSequence { news.poll(10, TimeUnit.SECONDS) }
+            .filterIsInstance<WatchUpdate.Newest<String>>().first()
+        expectThat(newest.records).containsExactly("good")
+        duty.stop(Duration.ofSeconds(1))
+    }
 }
