Handle messages between ticks whose decision fails

Cause: a tick whose decision failed was repeated at once and for ever, so that no message was handled and the log was flooded.

Change: the next tick is due 100 ms later unless its decision succeeds.

Test: CallsDutyTest.

--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
@@ -25,6 +25,9 @@
 /** A message to the `calls` duty. [port] is set for [CallEvent.Arrived] only. */
 public data class CallMessage(val event: CallEvent, val port: CallPort? = null)
 
+/** Time until a tick is repeated whose decision failed. */
+private val FAILED_TICK_PAUSE: Duration = Duration.ofMillis(100)
+
 /** Shortest time between two ticks. */
 private val MIN_TICK_INTERVAL: Duration = Duration.ofMillis(1)
 
@@ -57,6 +60,8 @@
             ports = ports.put(event.request.callId, message.port)
         }
         val now = clock.instant()
+        // Holds if the decision fails, so that messages are handled before the tick is repeated.
+        if (event == CallEvent.Ticked) dueAt = now + FAILED_TICK_PAUSE
         val decision = decideOrRefuse(event, now)
         state = decision.state
         if (event == CallEvent.Ticked) tickedAt = now
--- a/runtime/src/test/kotlin/org/wisteriahinge/runtime/CallsDutyTest.kt
+++ b/runtime/src/test/kotlin/org/wisteriahinge/runtime/CallsDutyTest.kt
@@ -3,7 +3,6 @@
 import java.time.Clock
 import java.time.Duration
 import java.time.Instant
-import java.time.ZoneId
 import java.time.ZoneOffset
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -25,14 +24,10 @@
 
 /** Guards against a caller that waits for its deadline because the decision on its call failed. */
 class CallsDutyTest {
-    /** A time at which each computation of a later time fails. */
-    private object LastInstant : Clock() {
-        override fun instant(): Instant = Instant.MAX
+    private val now = Instant.parse("2026-01-01T00:00:00Z")
 
-        override fun getZone(): ZoneId = ZoneOffset.UTC
-
-        override fun withZone(zone: ZoneId): Clock = this
-    }
+    /** The end of this wait is out of the range of an instant, so that the decision fails. */
+    private val impossibleWait = Duration.ofSeconds(Long.MAX_VALUE)
 
     private val request = CallRequest(
         callId = CallId(1),
@@ -41,13 +36,13 @@
         path = "/",
         idempotencyKey = null,
         digest = null,
-        deadline = Instant.MAX,
+        deadline = now.plusSeconds(10),
         depth = 0,
         retriesAllowed = true,
         bodyBytes = 0,
         replayable = true,
         host = "h",
-        arrivedAt = Instant.MAX,
+        arrivedAt = now,
         callerRequestId = null
     )
 
@@ -57,10 +52,10 @@
         val state = CallsState(
             Configuration.Empty,
             RoutingState(RoutingPolicy.RoundRobin, Zone("a"), seed = 1),
-            held = HeldCalls(EarlyCallPolicy.Held(Duration.ofMillis(400)))
+            held = HeldCalls(EarlyCallPolicy.Held(impossibleWait))
         )
         val answer = CompletableFuture<CallEffect>()
-        val duty = CallsDuty(ring, state, { }, LastInstant)
+        val duty = CallsDuty(ring, state, { }, Clock.fixed(now, ZoneOffset.UTC))
         ring.offer(CallMessage(CallEvent.Arrived(request)) { answer.complete(it) })
         duty.start()
         val refused = answer.get(10, TimeUnit.SECONDS) as CallEffect.Refuse
