--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
@@ -122,14 +122,16 @@
     val port: Int get() = server.localPort
 
     private val acceptor = thread(isDaemon = true) {
-        while (!server.isClosed) {
-            try {
-                accept(server.accept())
-            } catch (_: SocketTimeoutException) {
-                continue
-            } catch (_: SocketException) {
-                break
-            }
+        while (!server.isClosed) acceptNext()
+    }
+
+    private fun acceptNext() {
+        try {
+            accept(server.accept())
+        } catch (_: SocketTimeoutException) {
+            return
+        } catch (_: SocketException) {
+            return
         }
     }
 
