--- a/bench/src/main/kotlin/org/wisteriahinge/bench/start/StartCost.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/start/StartCost.kt
@@ -160,7 +160,7 @@
 
     private fun JsonObjectBuilder.putTimes(name: String, times: PersistentList<ThreadTimes>) {
         put("${name}_cpu_ms", times.median { it.totalMillis })
-        put("${name}_compiler_ms", times.median { it.compilerMillis })
+        put("${name}_vm_ms", times.median { it.vmMillis })
         put("${name}_main_ms", times.median { it.mainMillis })
         put("${name}_io_ms", times.median { it.ioMillis })
         put("${name}_duties_ms", times.median { it.dutiesMillis })
@@ -185,17 +185,6 @@
     }
 }
 
-private fun ThreadTimes.perSecond(period: Duration): ThreadTimes {
-    val seconds = period.toMillis() / 1_000.0
-    return ThreadTimes(
-        totalMillis / seconds,
-        compilerMillis / seconds,
-        mainMillis / seconds,
-        ioMillis / seconds,
-        dutiesMillis / seconds
-    )
-}
-
 private fun <T> List<T>.median(value: (T) -> Double): Double = map(value).sorted()[size / 2]
 
 private fun freeAddress(): Address = Address(LOCALHOST, ServerSocket(0).use { it.localPort })
