--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
@@ -48,7 +48,7 @@
         if (connection is ConnectionState.Connected) connection = ConnectionState.Waiting
     }
 
-    /** A body without a declared length must end by the time-out, because it may never end. */
+    /** A body without a declared length must end by the timeout, because it may never end. */
     override fun answered(answer: BackendAnswer) {
         if (isSettled) return
         isSettled = true
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -10,8 +10,8 @@
 /**
  * Counters for the decisions on calls.
  *
- * Prometheus sees them from [register] on. Counting does not load its classes, which takes a tenth
- * of the processor time of a start.
+ * Prometheus sees them from [register] on. Counting does not load its classes, which would delay
+ * the start.
  */
 public class CallMetrics {
     private val counts = AtomicReference(persistentHashMapOf<CounterKey, Long>())
--- a/app/src/main/kotlin/org/wisteriahinge/app/LogProvider.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/LogProvider.kt
@@ -15,7 +15,7 @@
  * Starts Logback with the configuration of [LogConfigurator] only.
  *
  * Logback's own provider ranks all configurators by their annotations and reports on its status,
- * which takes a sixth of the processor time of a start.
+ * which would delay the start.
  */
 public class LogProvider : SLF4JServiceProvider {
     private val context = LoggerContext()
--- a/charts/src/main/kotlin/org/wisteriahinge/charts/CompiledChart.kt
+++ b/charts/src/main/kotlin/org/wisteriahinge/charts/CompiledChart.kt
@@ -18,7 +18,7 @@
  *
  * The compiled form has one keyword and its names on each line, every name with the line of the
  * YAML file, so that faults are still reported there. It is read without a YAML parser, whose
- * classes would take an eighth of the start.
+ * classes would delay the start.
  */
 public fun compileChart(file: String, text: String): Result<String, ChartFault> =
     parseChartDocument(file, text).map { it.toCompiledForm() }
