Read, log and measure the rate limits that targets name

What was missing to tell the hypotheses apart: no instance knew a limit, so no log line or metric could show when it learned one. Answers to calls and probes are now read in platform/ into requests per second; an instance logs a limit that comes or goes, exports it as a gauge, counts values that are no decimal number, and shows it beside the load of a target in the steps of a call. Nothing decides on it yet: a lower limit counts at once, a higher one or none after one second without the lower, because answers arrive out of order; the answer of another target at the same address says nothing.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/WireDialect.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/WireDialect.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.core.model.RateLimitReport
 
 /** The header in which targets report their load, and its syntax. */
 public sealed interface LoadFormat {
@@ -15,6 +17,12 @@
     public data class CommaSeparated(override val header: String) : LoadFormat
 }
 
+/** Reads what an answer says about the rate of requests that its target accepts. */
+public fun interface RateLimitReader {
+    /** The report in [answer]; null if targets never name a limit. */
+    public fun read(answer: BackendAnswer): RateLimitReport?
+}
+
 /** The header by which targets state that they did not run a request. */
 public sealed interface NotRunFormat {
     /** The header's name. */
@@ -62,15 +70,16 @@
 /**
  * The names and formats of the headers that callers, instances and targets exchange.
  *
- * [timeoutHeader] holds the time left for a request in milliseconds. [expectedTargetHeader] names
- * the target that a request is meant for and [targetId] the one that answered; either is null
- * if it is not exchanged. With [forwardsHost], targets receive the caller's `Host` header. With
+ * [timeoutHeader] holds the time left for a request in milliseconds. [rateLimit] reads the rate that
+ * a target accepts. [expectedTargetHeader] names the target that a request is meant for and
+ * [targetId] the one that answered; either is null if it is not exchanged. With [forwardsHost], targets receive the caller's `Host` header. With
  * [fractionalRetryAfter], `Retry-After` has fractions of a second. The headers in
  * [withheldHeaders], in lower case, are not forwarded to targets.
  */
 public data class WireDialect(
     val timeoutHeader: String,
     val load: LoadFormat,
+    val rateLimit: RateLimitReader,
     val notRun: NotRunFormat,
     val answerValidation: AnswerValidation,
     val retryContext: RetryContext,
@@ -85,6 +94,7 @@
         public val Default: WireDialect = WireDialect(
             timeoutHeader = WireHeaders.TIMEOUT_MILLIS,
             load = LoadFormat.SlashSeparated(WireHeaders.LOAD),
+            rateLimit = RateLimitReader { null },
             notRun = NotRunFormat.ReasonHeader(WireHeaders.NOT_RUN, drainingReason = "draining"),
             answerValidation = AnswerValidation.None,
             retryContext = RetryContext.Propagated,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -10,7 +10,6 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.Execution
-import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
 
@@ -82,7 +81,7 @@
         val outgoing = forwarded.backendRequest(attempt, services.clock.instant(), services.dialect)
         val isExpired = outgoing.remaining.toMillis() <= 0
         if (isExpired || !immediateDelivery.tryStartAttempt()) {
-            return report(attempt, AttemptFailure.NotSent, null)
+            return report(attempt, AttemptFailure.NotSent, TargetReport())
         }
         val capture = AnswerCapture.of(request, services.answerListener)
         val running = RunningAttempt(attempt, services, writer, capture, this)
@@ -105,26 +104,35 @@
         }
     }
 
-    override fun answered(attempt: RunningAttempt, answer: BackendAnswer, load: LoadReport?) {
+    override fun answered(attempt: RunningAttempt, answer: BackendAnswer, report: TargetReport) {
         val id = attempt.attempt.id
         val deliverNow = immediateDelivery.tryDeliver(attempt.attempt, answer.status)
-        gateway.report(CallEvent.Answered(request.callId, id, answer.status, load))
+        gateway.report(
+            CallEvent.Answered(
+                request.callId,
+                id,
+                answer.status,
+                report.load,
+                report.rateLimit
+            )
+        )
         if (deliverNow) attempt.deliver()
     }
 
-    override fun failed(attempt: RunningAttempt, failure: AttemptFailure, load: LoadReport?) {
+    override fun failed(attempt: RunningAttempt, failure: AttemptFailure, report: TargetReport) {
         attempts = attempts.remove(attempt.attempt.id)
-        report(attempt.attempt, failure, load)
+        report(attempt.attempt, failure, report)
     }
 
-    private fun report(attempt: Attempt, failure: AttemptFailure, load: LoadReport?) {
+    private fun report(attempt: Attempt, failure: AttemptFailure, report: TargetReport) {
         gateway.report(
             CallEvent.AttemptFailed(
                 callId = request.callId,
                 attemptId = attempt.id,
                 failure = failure,
                 replayable = forwarded.isReplayable,
-                load = load
+                load = report.load,
+                rateLimit = report.rateLimit
             )
         )
     }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
@@ -94,8 +94,9 @@
 }
 
 private fun TargetSnapshot.describe(at: Instant): String {
-    val known = report ?: return "$id ($own own, no report)"
+    val limit = rateLimit?.let { ", limit $it/s" }.orEmpty()
+    val known = report ?: return "$id ($own own, no report$limit)"
     val pace = known.pacePercent?.let { ", pace $it%" }.orEmpty()
     val age = formatMillis(known.observedAt, at)
-    return "$id ($own own, ${known.inFlight} of ${known.slots} in flight$pace, $age ago)"
+    return "$id ($own own, ${known.inFlight} of ${known.slots} in flight$pace$limit, $age ago)"
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
@@ -10,13 +10,20 @@
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.model.RateLimitReport
+
+/** What an answer says of its target; empty if there was no answer. */
+internal data class TargetReport(
+    val load: LoadReport? = null,
+    val rateLimit: RateLimitReport? = null
+)
 
 /** Is notified of the progress of a [RunningAttempt]. */
 internal interface AttemptListener {
     /** The head of a usable answer arrived; [RunningAttempt.deliver] starts its delivery. */
-    fun answered(attempt: RunningAttempt, answer: BackendAnswer, load: LoadReport?)
+    fun answered(attempt: RunningAttempt, answer: BackendAnswer, report: TargetReport)
 
-    fun failed(attempt: RunningAttempt, failure: AttemptFailure, load: LoadReport?)
+    fun failed(attempt: RunningAttempt, failure: AttemptFailure, report: TargetReport)
 
     /** The whole answer was written to the caller. */
     fun delivered(attempt: RunningAttempt, answer: BackendAnswer)
@@ -54,17 +61,20 @@
         when (val verdict = services.dialect.classify(answer)) {
             is AnswerVerdict.Failed -> {
                 abandon()
-                listener.failed(this, verdict.failure, load)
+                val isOwn = verdict.failure != AttemptFailure.WrongTarget
+                val rateLimit = if (isOwn) services.dialect.rateLimit.read(answer) else null
+                listener.failed(this, verdict.failure, TargetReport(load, rateLimit))
             }
             AnswerVerdict.Usable -> {
                 pendingAnswer = answer
-                listener.answered(this, answer, load)
+                val rateLimit = services.dialect.rateLimit.read(answer)
+                listener.answered(this, answer, TargetReport(load, rateLimit))
             }
         }
     }
 
     override fun failed(failure: AttemptFailure, detail: String) {
-        listener.failed(this, failure, null)
+        listener.failed(this, failure, TargetReport())
     }
 
     /** Starts to write the answer to the caller; later calls have no effect. */
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -21,6 +21,7 @@
 import org.wisteriahinge.adapters.caller.ownershipOf
 import org.wisteriahinge.adapters.metrics.CallMetrics
 import org.wisteriahinge.adapters.metrics.InstanceMetrics
+import org.wisteriahinge.adapters.metrics.RateLimitMonitor
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
@@ -65,6 +66,7 @@
 ) : Closeable {
     private val metrics = CallMetrics()
     private val callLog = CallTraceLog()
+    private val rateLimits = RateLimitMonitor(clock)
     val ring = Ring<CallMessage>(
         "calls",
         CALLS_RING_CAPACITY,
@@ -99,6 +101,7 @@
     val metricsRegistry: PrometheusRegistry by lazy {
         metrics.register(registry)
         callLog.register(registry)
+        rateLimits.register(registry)
         instanceMetrics.register(registry)
         registry
     }
@@ -135,6 +138,7 @@
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
             is CallEffect.LogCall -> courses.submit(effect.trace)
+            is CallEffect.NotifyRateLimit -> rateLimits.accept(effect.notice)
             is CallEffect.Probe -> prober.probe(effect.target, effect.path)
             is CallEffect.ForCall -> error("$effect must be handled by the front end of its call")
             is CallEffect.Claim,
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -101,6 +101,7 @@
             is CallEffect.PublishLoads -> Unit
             is CallEffect.Count,
             is CallEffect.LogCall,
+            is CallEffect.NotifyRateLimit,
             is CallEffect.Probe,
             is CallEffect.ForCall -> error("$effect must be handled by the call pipeline")
         }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -143,6 +143,7 @@
             )
             is CallEffect.Count,
             is CallEffect.LogCall,
+            is CallEffect.NotifyRateLimit,
             is CallEffect.Probe,
             is CallEffect.ForCall -> error("$effect must be handled by the call pipeline")
         }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -42,7 +42,8 @@
     // The world's routing neither probes nor shares loads between instances.
     is CallEffect.Probe, is CallEffect.PublishLoads -> this
     is CallEffect.ReportQuarantine, is CallEffect.PublishQuarantineSummary -> this
-    is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall -> this
+    is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall,
+    is CallEffect.NotifyRateLimit -> this
 }
 
 private fun World.told(copy: CopyRef, what: Told): World = copy(oracle = oracle.told(copy, what))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -156,7 +156,8 @@
                 schedule(at, SimEvent.ReachProbe(target, instance))
             }
             is CallEffect.PublishLoads -> told = told.set(instance, effect.loads)
-            is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall -> Unit
+            is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall,
+            is CallEffect.NotifyRateLimit -> Unit
         }
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -13,6 +13,7 @@
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.once.OnceEvent
+import org.wisteriahinge.core.ratelimit.RateLimitNotice
 
 /**
  * One attempt to have a call answered by one target. [number] starts at 1.
@@ -80,6 +81,9 @@
     /** Set the target loads that the next heartbeats carry. Replaces those set before. */
     public data class PublishLoads(val loads: PersistentList<TargetLoad>) : CallEffect
 
+    /** Log and measure news on the rate limits of targets. */
+    public data class NotifyRateLimit(val notice: RateLimitNotice) : CallEffect
+
     /** Log a call that ended in any other way than by the answer of its only attempt. */
     public data class LogCall(val trace: CallTrace) : CallEffect
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -12,6 +12,7 @@
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.model.RateLimitReport
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.once.ClaimSettlement
 
@@ -23,12 +24,13 @@
     /** A caller's request arrived; its head was read and is well-formed. */
     public data class Arrived(val request: CallRequest) : CallEvent
 
-    /** The head of a target's answer arrived, with the target's load report if it sent one. */
+    /** The head of a target's answer arrived, with what it says of the target's load and limit. */
     public data class Answered(
         val callId: CallId,
         val attemptId: AttemptId,
         val status: Int,
-        val load: LoadReport?
+        val load: LoadReport?,
+        val rateLimit: RateLimitReport? = null
     ) : AttemptEvent
 
     /** An attempt ended without an answer. [replayable] is true if the body can be sent again. */
@@ -37,7 +39,8 @@
         val attemptId: AttemptId,
         val failure: AttemptFailure,
         val replayable: Boolean,
-        val load: LoadReport? = null
+        val load: LoadReport? = null,
+        val rateLimit: RateLimitReport? = null
     ) : AttemptEvent
 
     /** The whole answer was passed to the caller. */
@@ -50,7 +53,11 @@
     public data class CallerGone(val callId: CallId) : CallEvent
 
     /** A target's load report arrived outside a call, for example in the answer to a probe. */
-    public data class LoadReported(val targetId: TargetId, val load: LoadReport) : CallEvent
+    public data class LoadReported(
+        val targetId: TargetId,
+        val load: LoadReport,
+        val rateLimit: RateLimitReport? = null
+    ) : CallEvent
 
     /** A decision of another duty that the calls depend on. */
     public sealed interface DutyDecision : CallEvent
@@ -78,7 +85,8 @@
     public data class SharesChanged(val shares: UsableShares) : DutyDecision
 
     /** A probe of [target] brought no load report. */
-    public data class ProbeFailed(val target: TargetId) : CallEvent
+    public data class ProbeFailed(val target: TargetId, val rateLimit: RateLimitReport? = null) :
+        CallEvent
 
     /** The peer [from] sent its load information about targets. */
     public data class PeerLoads(val from: InstanceId, val loads: PersistentList<TargetLoad>) :
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallTrace.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallTrace.kt
@@ -31,8 +31,12 @@
 internal fun CallInProgress.withStep(step: TraceStep): CallInProgress =
     copy(steps = steps.add(step))
 
-internal fun RoutingState.snapshotOf(id: TargetId): TargetSnapshot =
-    TargetSnapshot(id, targets[id]?.inFlight ?: 0, targets[id]?.load)
+internal fun RoutingState.snapshotOf(id: TargetId): TargetSnapshot = TargetSnapshot(
+    id,
+    targets[id]?.inFlight ?: 0,
+    targets[id]?.load,
+    rateLimits.byTarget[id]?.requestsPerSecond
+)
 
 internal fun RoutingState.snapshotsOf(ids: Collection<TargetId>): PersistentList<TargetSnapshot> =
     ids.sortedBy { it.value }.map { snapshotOf(it) }.toPersistentList()
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -24,7 +24,9 @@
 
 /** Decides on [event] at [now]. A pure function: it reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
-    decideEvent(event, now).then { it.dispatchQueued(now) }
+    observeRateLimit(event, now)
+        .then { it.decideEvent(event, now) }
+        .then { it.dispatchQueued(now) }
 
 private fun CallsState.decideEvent(event: CallEvent, now: Instant): CallsDecision = when (event) {
     is CallEvent.Arrived ->
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/TraceStep.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/TraceStep.kt
@@ -6,8 +6,16 @@
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.retry.RetryDenial
 
-/** A target at one moment: [own] requests of this instance in flight and its last load [report]. */
-public data class TargetSnapshot(val id: TargetId, val own: Int, val report: LoadReport?)
+/**
+ * A target at one moment: [own] requests of this instance in flight, its last load [report], and
+ * the requests per second that it accepts if it named a limit.
+ */
+public data class TargetSnapshot(
+    val id: TargetId,
+    val own: Int,
+    val report: LoadReport?,
+    val rateLimit: Double? = null
+)
 
 /** An event or decision recorded for the log of a call. */
 public sealed interface TraceStep {
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
@@ -16,6 +16,7 @@
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.ratelimit.RateLimits
 
 /** Most preferred targets of a service; bounds the cost of a decision. */
 private const val MAX_PREFERRED = 24
@@ -51,7 +52,8 @@
     val latencies: PersistentMap<ServiceId, ServiceLatency> = persistentHashMapOf(),
     val connectionsPerTarget: Int = DEFAULT_CONNECTIONS_PER_TARGET,
     val probePlan: ProbePlan = ProbePlan(),
-    val announcedLoads: AnnouncedLoads = AnnouncedLoads()
+    val announcedLoads: AnnouncedLoads = AnnouncedLoads(),
+    val rateLimits: RateLimits = RateLimits()
 ) {
     /**
      * Replaces the targets by those of [entitlements]. The state of a target that is still listed
@@ -76,7 +78,8 @@
             },
             preferred = members.entries.fold(persistentHashMapOf()) { map, (service, views) ->
                 map.put(service, preferredOf(views))
-            }
+            },
+            rateLimits = rateLimits.retaining(listedIds)
         ).withProbesAssigned()
     }
 
