--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/WireDialect.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/WireDialect.kt
@@ -70,11 +70,12 @@
 /**
  * The names and formats of the headers that callers, instances and targets exchange.
  *
- * [timeoutHeader] holds the time left for a request in milliseconds. [rateLimit] reads the rate that
- * a target accepts. [expectedTargetHeader] names the target that a request is meant for and
- * [targetId] the one that answered; either is null if it is not exchanged. With [forwardsHost], targets receive the caller's `Host` header. With
- * [fractionalRetryAfter], `Retry-After` has fractions of a second. The headers in
- * [withheldHeaders], in lower case, are not forwarded to targets.
+ * [timeoutHeader] holds the time left for a request in milliseconds. [rateLimit] reads the rate
+ * that a target accepts. [expectedTargetHeader] names the target that a request is meant for and
+ * [targetId] the one that answered; either is null if it is not exchanged. With [forwardsHost],
+ * targets receive the caller's `Host` header. With [fractionalRetryAfter], `Retry-After` has
+ * fractions of a second. The headers in [withheldHeaders], in lower case, are not forwarded to
+ * targets.
  */
 public data class WireDialect(
     val timeoutHeader: String,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendRequest.kt
@@ -14,6 +14,8 @@
  * from those to other requests, which are skipped. [host] is sent as the `Host` header; null stands
  * for the target's address.
  *
+ * A request that could not be written within [maxSendDelay] is not sent.
+ *
  * A request that is not [isRepeatable] is sent only on a new connection, or on one that was idle
  * for at most [ConnectionLimits.maxIdleForNonRepeatable]. With [retryOnStaleConnection], a request
  * that fails because the target had closed a reused connection is sent again on a new one. This is
@@ -28,5 +30,6 @@
     public val ownership: AnswerOwnership = AnswerOwnership.NextAnswer,
     public val host: String? = null,
     public val isRepeatable: Boolean = true,
-    public val retryOnStaleConnection: Boolean = false
+    public val retryOnStaleConnection: Boolean = false,
+    public val maxSendDelay: Duration? = null
 )
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -64,6 +64,10 @@
                     pool.release(channel)
                     send(exchange, allowReused)
                 }
+                exchange.isTooLateToSend -> {
+                    pool.release(channel)
+                    exchange.failed(AttemptFailure.NotSent, "no connection in time")
+                }
                 !exchange.tryAttach(channel) -> pool.release(channel)
                 else -> RequestWriter(exchange).write(channel)
             }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetExchange.kt
@@ -23,6 +23,7 @@
 ) : AnswerObserver {
     private var connection: ConnectionState = ConnectionState.Waiting
     private var timer: Future<*>? = null
+    private val createdNanos = System.nanoTime()
 
     /** Whether the answer has no body because of the request's method. */
     val isHead: Boolean get() = request.method == HttpMethod.HEAD.name()
@@ -36,6 +37,11 @@
         timer = loop.schedule(::expire, limitMillis, TimeUnit.MILLISECONDS)
     }
 
+    /** Whether the request waited too long for a connection to be written. */
+    val isTooLateToSend: Boolean
+        get() = request.maxSendDelay?.let { System.nanoTime() - createdNanos > it.toNanos() } ==
+            true
+
     /** Takes over [channel]; false if the exchange ended while it waited for a connection. */
     fun tryAttach(channel: Channel): Boolean {
         if (connection != ConnectionState.Waiting) return false
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -79,7 +79,8 @@
 
     private fun launchAttempt(attempt: Attempt) {
         val outgoing = forwarded.backendRequest(attempt, services.clock.instant(), services.dialect)
-        val isExpired = outgoing.remaining.toMillis() <= 0
+        val isExpired = outgoing.remaining.toMillis() <= 0 ||
+            outgoing.maxSendDelay?.isNegative == true
         if (isExpired || !immediateDelivery.tryStartAttempt()) {
             return report(attempt, AttemptFailure.NotSent, TargetReport())
         }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicLong
 import org.wisteriahinge.core.call.CallEnd
 import org.wisteriahinge.core.call.CallTrace
+import org.wisteriahinge.core.call.LimitSnapshot
 import org.wisteriahinge.core.call.TargetSnapshot
 import org.wisteriahinge.core.call.TraceStep
 import org.wisteriahinge.runtime.CourseSink
@@ -85,14 +86,20 @@
     "${Duration.between(from, to).toNanos() / MICROS_PER_MILLI.toLong() / MICROS_PER_MILLI} ms"
 
 private fun TraceStep.describe(): String = when (this) {
-    is TraceStep.Sent -> "attempt $number sent to ${target.describe(at)}"
+    is TraceStep.Sent -> "attempt $number sent to ${target.describe(at)}${passedOverText()}"
     is TraceStep.Failed -> "$target failed: ${failure.wireName}"
     is TraceStep.ErrorAnswered -> "$target answered $status"
     is TraceStep.NotRetried -> "not retried: ${denial.wireName}"
     is TraceStep.NotHedged -> "not hedged: ${denial.wireName}"
+    is TraceStep.AtRateLimit -> "at their rate limits: ${limited.joinToString { it.describe() }}"
     is TraceStep.NoCapacity -> "no room at ${probed.joinToString { it.describe(at) }}"
 }
 
+private fun TraceStep.Sent.passedOverText(): String =
+    if (passedOver == 0) "" else ", passing over $passedOver at their rate limits"
+
+private fun LimitSnapshot.describe(): String = "$id (limit $perSecond/s, $ownPerSecond/s here)"
+
 private fun TargetSnapshot.describe(at: Instant): String {
     val limit = rateLimit?.let { ", limit $it/s" }.orEmpty()
     val known = report ?: return "$id ($own own, no report$limit)"
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -47,7 +47,8 @@
             remaining = remaining,
             ownership = ownership,
             host = request.host?.takeIf { dialect.forwardsHost },
-            isRepeatable = attempt.isRepeatable
+            isRepeatable = attempt.isRepeatable,
+            maxSendDelay = attempt.sendBy?.let { Duration.between(now, it) }
         )
     }
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -43,6 +43,8 @@
         is CallCounter.CrashSuspected -> CRASHES_SUSPECTED.with(counter.service.value)
         is CallCounter.ProbeSent -> PROBES.with(counter.service.value, "sent")
         is CallCounter.ProbeFailed -> PROBES.with(counter.service.value, "failed")
+        is CallCounter.RateLimited ->
+            RATE_LIMITED.with(counter.service.value, counter.outcome.wireName)
         is CallCounter.Truncated -> TRUNCATED.with(counter.service.value)
     }
 
@@ -69,6 +71,12 @@
         )
         val TRUNCATED =
             family("wisteriahinge_truncated_total", "Answers that ended early", "service")
+        val RATE_LIMITED = family(
+            "wisteriahinge_rate_limited_total",
+            "Requests that targets must not get because of their rate limits",
+            "service",
+            "outcome"
+        )
         val RETRIES = family(
             "wisteriahinge_retries_total",
             "Failed attempts followed by another one",
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/RateLimitMonitor.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/RateLimitMonitor.kt
@@ -50,10 +50,10 @@
     private fun replace(limits: PersistentList<RateLimitStatus>) {
         val before = inForce.getAndSet(limits).associateBy { it.target }
         val after = limits.associateBy { it.target }
-        after.values.filter { it.rate != before[it.target]?.rate }.forEach { limit ->
+        after.values.filter { it.differsFrom(before[it.target]) }.forEach { limit ->
             log {
                 "target ${limit.target} of service ${limit.service} accepts " +
-                    "${limit.rate} requests/s from all instances together"
+                    "${limit.requestsPerSecond} requests/s from all instances together"
             }
         }
         (before.keys - after.keys).forEach { target ->
@@ -68,22 +68,40 @@
 
     /** Adds the metrics to [registry]. */
     public fun register(registry: PrometheusRegistry) {
+        registry.registerRates(
+            "wisteriahinge_target_rate_limit",
+            "Requests per second that a target accepts from all instances together",
+            RateLimitStatus::requestsPerSecond
+        )
+        registry.registerRates(
+            "wisteriahinge_target_rate_limit_share",
+            "Requests per second that a target accepts from this instance",
+            RateLimitStatus::ownPerSecond
+        )
+        CounterWithCallback.builder()
+            .name("wisteriahinge_rate_limits_invalid_total")
+            .help("Answers that named a limit that is not a rate")
+            .callback { it.call(invalid.toDouble()) }
+            .register(registry)
+    }
+
+    private fun PrometheusRegistry.registerRates(
+        name: String,
+        help: String,
+        rate: (RateLimitStatus) -> Double
+    ) {
         GaugeWithCallback.builder()
-            .name("wisteriahinge_target_rate_limit")
-            .help("Requests per second that a target accepts from all instances together")
+            .name(name)
+            .help(help)
             .labelNames("service", "target")
             .callback { gauge ->
                 inForce.get().forEach {
-                    gauge.call(it.rate, it.service.value, it.target.value)
+                    gauge.call(rate(it), it.service.value, it.target.value)
                 }
             }
-            .register(registry)
-        CounterWithCallback.builder()
-            .name("wisteriahinge_rate_limits_invalid_total")
-            .help("Answers that named a limit that is not a rate")
-            .callback { it.call(invalid.toDouble()) }
-            .register(registry)
+            .register(this)
     }
 }
 
-private val RateLimitStatus.rate: Double get() = requestsPerSecond
+private fun RateLimitStatus.differsFrom(before: RateLimitStatus?): Boolean =
+    requestsPerSecond != before?.requestsPerSecond
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -146,6 +146,7 @@
             is CallEffect.ReportDemand,
             is CallEffect.ReportQuarantine,
             is CallEffect.PublishQuarantineSummary,
+            is CallEffect.RequestRateLimitShare,
             is CallEffect.PublishLoads -> otherEffects.perform(effect)
         }
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -12,12 +12,16 @@
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.ListeningSocket
 import org.wisteriahinge.core.call.CallEffect
+import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.group.GroupEvent
 import org.wisteriahinge.core.lifecycle.LifecycleAction
 import org.wisteriahinge.core.lifecycle.LifecycleEvent
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.platform.READY_PATH
+import org.wisteriahinge.platform.StoreGroup
 import org.wisteriahinge.platform.warmUpAnswer
 import org.wisteriahinge.platform.warmUpHeaders
+import org.wisteriahinge.runtime.GroupDuty
 import org.wisteriahinge.runtime.LifecycleDuty
 
 private val logger = KotlinLogging.logger {}
@@ -56,6 +60,7 @@
     private val storeClient =
         BackendClient(storeConnectionLimits, pipeline.loop)
     private val sources = sources()
+    private val rateLimitGroup = rateLimitGroup()
     private val lifecycle = LifecycleDuty(
         settings.gracePeriod.share(DRAIN_SHARE),
         settings.gracePeriod.share(HANDOVER_SHARE),
@@ -72,6 +77,19 @@
         pipeline.loop
     )
 
+    private fun rateLimitGroup(): GroupDuty {
+        val platform = settings.platform
+        val group = StoreGroup(
+            settings.name,
+            platform.partitionsPerTopic,
+            platform.store,
+            storeClient
+        )
+        return GroupDuty(group.partitionCount, group, clock) {
+            pipeline.offerBlocking(CallEvent.RateLimitShareChanged(it))
+        }
+    }
+
     private fun sources(): PlatformSources {
         val own = settings.platform.ownRelay?.takeIf { it in settings.platform.relays }
         return if (own == null) {
@@ -92,6 +110,8 @@
 
     private fun perform(effect: CallEffect) {
         when (effect) {
+            is CallEffect.RequestRateLimitShare ->
+                rateLimitGroup.post(GroupEvent.NeedChanged(effect.isNeeded))
             // Callers of open routes have no plan, no idempotency keys and no identity.
             is CallEffect.Claim,
             is CallEffect.EndClaim,
@@ -118,6 +138,7 @@
                 logger.info { "draining; refusing new calls" }
                 pipeline.gateway.drain()
                 pipeline.closeIdleConnections()
+                rateLimitGroup.post(GroupEvent.Stopping)
             }
             LifecycleAction.CountCutOff ->
                 logger.warn {
@@ -136,6 +157,7 @@
         lifecycle.start()
         pipeline.startDuties()
         topics.start()
+        rateLimitGroup.start()
         try {
             pipeline.listen()
             admin.start()
@@ -159,6 +181,7 @@
 
     override fun close() {
         topics.close()
+        rateLimitGroup.stop(STOP_TIMEOUT)
         admin.close()
         sources.close()
         pipeline.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -9,6 +9,8 @@
 import org.wisteriahinge.core.call.HeldCalls
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.ratelimit.RateLimitShare
+import org.wisteriahinge.core.ratelimit.RateLimits
 import org.wisteriahinge.core.retry.Hedging
 import org.wisteriahinge.core.retry.RetryLimit
 import org.wisteriahinge.core.retry.RetrySettings
@@ -78,7 +80,8 @@
             zonePenaltyMillisPerKib = ZONE_PENALTY_MILLIS_PER_KIB
         ),
         zone,
-        seed
+        seed,
+        rateLimits = RateLimits(share = RateLimitShare.None)
     ),
     retries = RetryState(
         RetrySettings(
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
@@ -25,6 +25,8 @@
     public val seed: Long
 )
 
+internal const val DEFAULT_PARTITIONS_PER_TOPIC: Int = 12
+
 /** Within any [window], at most [ratio] of the requests of a service may be sent again. */
 public data class RetryBudgetSettings(val ratio: Double, val window: Duration)
 
@@ -32,10 +34,12 @@
  * Addresses at which an instance reads the platform's topics.
  *
  * An instance whose [ownRelay] is among the [relays] is a relay: it serves the topics that it reads
- * to other instances, so that these need not read the [store].
+ * to other instances, so that these need not read the [store]. A topic of the store has
+ * [partitionsPerTopic] partitions.
  */
 public data class PlatformEndpoints(
     val store: Address,
     val relays: PersistentList<Address> = persistentListOf(),
-    val ownRelay: Address? = null
+    val ownRelay: Address? = null,
+    val partitionsPerTopic: Int = DEFAULT_PARTITIONS_PER_TOPIC
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -138,6 +138,8 @@
                 network?.let { it.link.broadcast(PeerMessage.Quarantine(it.id, effect.notices)) }
             is CallEffect.PublishQuarantineSummary ->
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
+            // Its targets name no limits.
+            is CallEffect.RequestRateLimitShare -> Unit
             is CallEffect.PublishLoads -> network?.report(
                 MembershipEvent.LoadsChanged(effect.loads)
             )
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -18,7 +18,8 @@
         store = address(get(Settings.storeAddress)),
         relays = get(Settings.relays).split(',').filter { it.isNotEmpty() }.map(::address)
             .toPersistentList(),
-        ownRelay = get(Settings.relayAddress).takeIf { it.isNotEmpty() }?.let(::address)
+        ownRelay = get(Settings.relayAddress).takeIf { it.isNotEmpty() }?.let(::address),
+        partitionsPerTopic = long(Settings.storePartitions).toInt()
     ),
     gracePeriod = seconds(Settings.graceSeconds),
     retryBudget = RetryBudgetSettings(
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -158,6 +158,12 @@
         "",
         "Addresses of the instances that read the store for the others; empty for none"
     )
+    val storePartitions = SettingSpec(
+        "store-partitions",
+        SettingKind.Whole("partitions", 1, 1_000),
+        "12",
+        "Partitions of each topic of the platform's store"
+    )
     val graceSeconds = SettingSpec(
         "grace-time-s",
         SettingKind.Decimal("s", 0.5, 3_600.0),
@@ -213,6 +219,7 @@
         storeAddress,
         relayAddress,
         relays,
+        storePartitions,
         graceSeconds,
         retryRatio,
         retryWindowSeconds,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -17,8 +17,10 @@
 import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.Scenario
+import org.wisteriahinge.bench.policy.TARGET_LIMITS
 import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPolicies
+import org.wisteriahinge.bench.policy.runTargetLimits
 import org.wisteriahinge.bench.soak.SOAK
 import org.wisteriahinge.bench.soak.SOAK_REGRESSIONS
 import org.wisteriahinge.bench.soak.soakCommand
@@ -62,6 +64,7 @@
         name == CAPACITY -> println(runCapacity(seed.toLong()))
         name == START_COST -> println(StartCost(File(root), starts).use { it.run() })
         name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
+        name == TARGET_LIMITS -> println(runTargetLimits(seed.toLong()))
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
@@ -75,8 +78,8 @@
 }
 
 private fun refuse(name: String): Nothing {
-    val known = (SCENARIOS.map { it.name } + DEEP_CALLS + CONFIG_SPREAD + CAPACITY + START_COST)
-        .joinToString()
+    val others = listOf(DEEP_CALLS, TARGET_LIMITS, CONFIG_SPREAD, CAPACITY, START_COST)
+    val known = (SCENARIOS.map { it.name } + others).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -43,7 +43,7 @@
     is CallEffect.Probe, is CallEffect.PublishLoads -> this
     is CallEffect.ReportQuarantine, is CallEffect.PublishQuarantineSummary -> this
     is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall,
-    is CallEffect.NotifyRateLimit -> this
+    is CallEffect.NotifyRateLimit, is CallEffect.RequestRateLimitShare -> this
 }
 
 private fun World.told(copy: CopyRef, what: Told): World = copy(oracle = oracle.told(copy, what))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -33,9 +33,13 @@
     val probes: PersistentMap<ProbeCell, Int> = persistentHashMapOf(),
     val startedAfterBound: Int = 0,
     val cutOff: Int = 0,
-    val crashes: PersistentMap<Long, Int> = persistentHashMapOf()
+    val crashes: PersistentMap<Long, Int> = persistentHashMapOf(),
+    val limitedArrivals: PersistentList<LimitedArrival> = persistentListOf()
 )
 
+/** A request that reached a [target] that names a limit. */
+internal data class LimitedArrival(val target: Int, val atMicros: Long)
+
 /** A target and a whole second of the run. */
 internal data class ProbeCell(val target: Int, val second: Long)
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.core.model.Repeatability
 import org.wisteriahinge.core.model.WorkClass
+import org.wisteriahinge.core.survey.SurveyPolicy
 
 /** Demand from [atMillis] on, as a ratio of the capacity of all targets at normal speed. */
 internal data class DemandStep(val atMillis: Long, val ratio: Double)
@@ -41,6 +42,9 @@
     /** The target's load reports always say that it is idle and serving. */
     data class Misreport(val misreporting: Boolean) : TargetChange
 
+    /** Answers name a limit of [perSecond] requests over all instances from now on. */
+    data class Limit(val perSecond: Double) : TargetChange
+
     /** The process ends; requests on it are cut off and it returns after [downMillis]. */
     data class Crash(val downMillis: Long) : TargetChange
 
@@ -96,6 +100,8 @@
     val tickMillis: Long = 20,
     val heartbeatMillis: Long = 1_000,
     val crashDownMillis: Long = 300,
+    val survey: SurveyPolicy = SurveyPolicy.Off,
+    val limitSharing: LimitSharing = LimitSharing.Ignored,
     val reference: Reference? = null,
     val extraFields: (RunResult) -> Map<String, Double> = { emptyMap() }
 ) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.routing.RoutingState
+import org.wisteriahinge.core.survey.SurveysState
 
 /** The instance number [index] after its start with the lists and members of the scenario. */
 internal fun Scenario.initialState(
@@ -18,7 +19,9 @@
 ): CallsState {
     val routing = RoutingState(decided.policy, zoneOf(index, zones), seed * instances + index)
     val members = CallEvent.MembersChanged(instanceId(index), instanceIds())
-    return CallsState(Configuration.Empty, routing, retries = decided.policy.retries())
+    val surveys = SurveysState(survey)
+    val retries = decided.policy.retries()
+    return CallsState(Configuration.Empty, routing, retries = retries, surveys = surveys)
         .decide(CallEvent.Configured(configuration(1)), Instant.EPOCH).state
         .decide(members, Instant.EPOCH).state
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimTarget.kt
@@ -32,6 +32,7 @@
     val crashed: Boolean = false,
     val draining: Announcement? = null,
     val drainingSinceMicros: Long = 0,
+    val limitPerSecond: Double? = null,
     val report: SimReport = SimReport(0, 0)
 ) {
     val inFlight: Int get() = running.size + queue.size
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -157,7 +157,7 @@
             }
             is CallEffect.PublishLoads -> told = told.set(instance, effect.loads)
             is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall,
-            is CallEffect.NotifyRateLimit -> Unit
+            is CallEffect.NotifyRateLimit, is CallEffect.RequestRateLimitShare -> Unit
         }
     }
 
@@ -228,6 +228,10 @@
         val late = target.draining != null &&
             nowMicros - target.drainingSinceMicros > LEAVING_BOUND_MICROS
         if (late) result = result.copy(startedAfterBound = result.startedAfterBound + 1)
+        if (target.limitPerSecond != null) {
+            val arrival = LimitedArrival(target.index, nowMicros)
+            result = result.copy(limitedArrivals = result.limitedArrivals.add(arrival))
+        }
         val work = if (target.failFast) attempt.workMicros / 10 else attempt.workMicros
         update(target.accept(attempt.copy(workMicros = work), nowMicros))
     }
@@ -270,7 +274,13 @@
         reply(
             after,
             done,
-            CallEvent.Answered(callId, done.key.attempt, status, after.reportAt(instant()))
+            CallEvent.Answered(
+                callId,
+                done.key.attempt,
+                status,
+                after.reportAt(instant()),
+                scenario.limitReport(after)
+            )
         )
         update(after)
     }
@@ -281,7 +291,7 @@
         val event = if (target.crashed) {
             CallEvent.ProbeFailed(targetId(target.index))
         } else {
-            CallEvent.LoadReported(targetId(target.index), report)
+            CallEvent.LoadReported(targetId(target.index), report, scenario.limitReport(target))
         }
         val at = nowMicros + scenario.delay(instance, target.index)
         schedule(at, SimEvent.ToInstance(instance, event))
@@ -310,6 +320,7 @@
         is TargetChange.Speed -> update(target.atSpeed(change.factor, nowMicros))
         is TargetChange.FailFast -> update(target.copy(failFast = change.failing))
         is TargetChange.Misreport -> update(target.copy(misreporting = change.misreporting))
+        is TargetChange.Limit -> update(target.copy(limitPerSecond = change.perSecond))
         is TargetChange.Drain -> drain(target, change.announcement)
         is TargetChange.Crash -> crash(target, change)
         TargetChange.Return -> update(target.copy(crashed = false))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Timeline.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Timeline.kt
@@ -45,6 +45,7 @@
                 heartbeatMicros * it / instanceCount to SimEvent.Heartbeat(it)
             )
         } +
-        List(if (noise == null) 0 else targets) { 0L to SimEvent.DrawSpeed(it) }
+        List(if (noise == null) 0 else targets) { 0L to SimEvent.DrawSpeed(it) } +
+        shareEvents()
     return all.fold(Timeline()) { timeline, (at, event) -> timeline.scheduled(at, event) }
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInPlatformTarget.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInPlatformTarget.kt
@@ -54,6 +54,10 @@
         return runBlocking { server.engine.resolvedConnectors().first().port }
     }
 
+    /** The limit of requests per second that answers name from now on; null for none. */
+    @Volatile
+    public var limitPerSecond: Double? = null
+
     /** Replaces the behaviour for requests that arrive from now on. */
     public fun behave(next: TargetBehaviour) {
         behaviour.set(next)
@@ -76,6 +80,7 @@
     private fun ApplicationCall.addLoadHeaders() {
         response.header("Wisteriahinge-Server-Load", "${running.get()},0,$SLOTS,100")
         response.header("Wisteriahinge-Instance-Id", id)
+        limitPerSecond?.let { response.header("Server-Limit", it.toString()) }
     }
 
     private suspend fun health(call: ApplicationCall) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
@@ -6,10 +6,12 @@
 import io.ktor.server.application.call
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
+import io.ktor.server.request.receiveText
 import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
+import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import java.io.ByteArrayOutputStream
 import java.io.Closeable
@@ -20,10 +22,17 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
 
 /** A record of a topic; a null [value] deletes the key. */
 private data class StoredRecord(val offset: Long, val key: String, val value: String?)
@@ -52,19 +61,25 @@
 }
 
 private const val POLL_MILLIS = 10L
+private const val NANOS_PER_MILLI = 1_000_000L
+private const val PARTITIONS_PER_TOPIC = 12
 
 /**
  * An in-memory HTTP server in place of the platform's store of keyed topics, for tests and
- * measurements. Implements only the two read calls that an instance makes; tests write with [put].
+ * measurements. Implements only the calls that an instance makes; tests write with [put]. All joins
+ * are for one group.
  */
 public class StandInStore : Closeable {
     private val topics = AtomicReference(persistentHashMapOf<String, StoredTopic>())
+    private val group = AtomicReference(StandInGroup())
     private val behaviour = AtomicReference<StoreBehaviour>(StoreBehaviour.Up)
     private val calls = AtomicInteger()
     private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
         routing {
             get("/api/log-newest") { withBehaviour(call) { newest(call) } }
             get("/api/log-read") { withBehaviour(call) { read(call) } }
+            post("/api/log-join") { withBehaviour(call) { join(call) } }
+            post("/api/log-leave") { withBehaviour(call) { leave(call) } }
         }
     }
 
@@ -161,6 +176,36 @@
         call.respondBytes(encode(topic, from))
     }
 
+    private suspend fun join(call: ApplicationCall) {
+        val body = Json.parseToJsonElement(call.receiveText()).jsonObject
+        val member = body.getValue("member").jsonPrimitive.content
+        val topics = body.getValue("topics").jsonArray.map { it.jsonPrimitive.content }
+        val joined = group.updateAndGet {
+            it.joined(
+                member,
+                partitionsOf(topics),
+                seen = body.getValue("generation").jsonPrimitive.long,
+                nowMillis = System.nanoTime() / NANOS_PER_MILLI,
+                termMillis = body.getValue("ttlMs").jsonPrimitive.long
+            )
+        }.answerTo(member)
+        val rows = joined.held.joinToString(",") { "[\"${it.topic}\",${it.partition},0]" }
+        call.respondText(
+            """{"generation":${joined.generation},"parts":[$rows]}""",
+            ContentType.Application.Json
+        )
+    }
+
+    private fun partitionsOf(topics: List<String>): PersistentSet<TopicPartition> = topics
+        .flatMap { topic -> List(PARTITIONS_PER_TOPIC) { TopicPartition(topic, it) } }
+        .toPersistentSet()
+
+    private suspend fun leave(call: ApplicationCall) {
+        val body = Json.parseToJsonElement(call.receiveText()).jsonObject
+        group.updateAndGet { it.left(body.getValue("member").jsonPrimitive.content) }
+        call.respondText("{}", ContentType.Application.Json)
+    }
+
     private fun encode(topic: StoredTopic, from: Long): ByteArray {
         val bytes = ByteArrayOutputStream()
         val out = DataOutputStream(bytes)
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -7,6 +7,7 @@
 import org.wisteriahinge.core.availability.availabilityChart
 import org.wisteriahinge.core.call.attemptChart
 import org.wisteriahinge.core.configuration.configurationChart
+import org.wisteriahinge.core.group.groupChart
 import org.wisteriahinge.core.lifecycle.lifecycleChart
 import org.wisteriahinge.core.limits.leaseChart
 import org.wisteriahinge.core.membership.peerChart
@@ -25,6 +26,7 @@
         attemptChart,
         availabilityChart,
         configurationChart,
+        groupChart,
         lifecycleChart,
         leaseChart,
         peerChart,
@@ -37,5 +39,5 @@
      * @throws InvalidChartException if a chart file is missing or invalid.
      */
     public fun loadForOpenRoutes(): PersistentList<Chart<*, *, *>> =
-        persistentListOf(attemptChart, availabilityChart, lifecycleChart, watchChart)
+        persistentListOf(attemptChart, availabilityChart, groupChart, lifecycleChart, watchChart)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -19,6 +19,7 @@
 import org.wisteriahinge.core.routing.FailureAttribution
 import org.wisteriahinge.core.routing.TargetChoice
 import org.wisteriahinge.core.routing.TargetRequest
+import org.wisteriahinge.core.routing.withoutPermit
 
 /** Retry delay when no target is available; one usually becomes available within it. */
 internal val RETRY_AFTER_NO_TARGET: Duration = Duration.ofMillis(250)
@@ -30,7 +31,8 @@
         call.matched.operation.workClass,
         call.triedTargets.addAll(excludedTargets(call, now)),
         call.request.bodyBytes ?: 0,
-        call.targetsWithCapacity
+        call.targetsWithCapacity,
+        urgencyOf(call)
     )
 
 /** Starts the first attempt of [call], or refuses the call if no target is available. */
@@ -44,6 +46,7 @@
             Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NO_TARGET),
             now
         )
+        is TargetChoice.RateLimited -> refuseAtRateLimit(call, choice, now)
     }
 }
 
@@ -59,8 +62,10 @@
         target = choice.target,
         deadline = call.request.deadline,
         noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed,
-        isRepeatable = call.isRepeatable()
+        isRepeatable = call.isRepeatable(),
+        sendBy = sendBy(choice.target.id, now)
     )
+    val passedOver = routing.withoutPermit(routeRequest(call, now), now).size
     val started = call.copy(
         attempts = call.attempts.put(
             attempt.id,
@@ -68,7 +73,9 @@
         ),
         attemptsStarted = attempt.number,
         triedTargets = call.triedTargets.add(choice.target.id)
-    ).withStep(TraceStep.Sent(now, attempt.number, routing.snapshotOf(choice.target.id)))
+    ).withStep(
+        TraceStep.Sent(now, attempt.number, routing.snapshotOf(choice.target.id), passedOver)
+    )
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
@@ -80,7 +87,9 @@
         ),
         admission = admission.attemptStarted(attempt, call.matched.operation.workClass)
     )
-    return CallsDecision(next).emit(CallEffect.Forward(call.request.callId, attempt))
+    return CallsDecision(next)
+        .countPassedOver(call.matched.service.id, passedOver)
+        .emit(CallEffect.Forward(call.request.callId, attempt))
 }
 
 internal fun CallsState.attemptAnswered(event: CallEvent.Answered, now: Instant): CallsDecision {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -94,7 +94,7 @@
     withdrawRetry(call, now) == null -> RetryDenial.BudgetSpent
     else -> when (routing.choose(routeRequest(call, now), now)) {
         is TargetChoice.Chosen -> null
-        TargetChoice.NoTarget -> RetryDenial.NoOtherTarget
+        TargetChoice.NoTarget, is TargetChoice.RateLimited -> RetryDenial.NoOtherTarget
     }
 }
 
@@ -172,7 +172,7 @@
         is TargetChoice.Chosen ->
             CallsDecision(spent).emit(CallEffect.Count(counter))
                 .then { it.forward(call, choice, now) }
-        TargetChoice.NoTarget -> refuse(
+        TargetChoice.NoTarget, is TargetChoice.RateLimited -> refuse(
             call.request.callId,
             call.noTargetRefusal(RETRY_AFTER_FULL),
             now
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -5,6 +5,15 @@
 import org.wisteriahinge.core.retry.RetryDenial
 import org.wisteriahinge.core.retry.RetryReason
 
+/** What became of a request that some targets must not get because of their rate limits. */
+public sealed class RateLimitOutcome(public val wireName: String) {
+    /** Another target got it. */
+    public data object PassedOver : RateLimitOutcome("passed_over")
+
+    /** It was refused, because no target may take it. */
+    public data object Refused : RateLimitOutcome("refused")
+}
+
 /** A counter metric of events and decisions on calls, with its labels. */
 public sealed interface CallCounter {
     /** A call was refused by the load balancer. */
@@ -41,6 +50,10 @@
     /** A probe brought no load report. */
     public data class ProbeFailed(val service: ServiceId) : CallCounter
 
+    /** The rate limits of targets allowed no request of this instance. */
+    public data class RateLimited(val service: ServiceId, val outcome: RateLimitOutcome) :
+        CallCounter
+
     /** An answer ended early after its delivery began. */
     public data class Truncated(val service: ServiceId) : CallCounter
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -18,6 +18,9 @@
 /**
  * One attempt to have a call answered by one target. [number] starts at 1.
  *
+ * An attempt that is not sent by [sendBy] has failed, because another instance may use the target's
+ * rate limit by then; null if the target named no limit.
+ *
  * [noRetry] asks the layers behind the target not to retry, because this attempt is itself a retry
  * or a hedge, or because an outer layer retries.
  */
@@ -27,7 +30,8 @@
     val target: Target,
     val deadline: Instant,
     val noRetry: Boolean = false,
-    val isRepeatable: Boolean = true
+    val isRepeatable: Boolean = true,
+    val sendBy: Instant? = null
 ) {
     /** Whether an answer with [status] is always delivered, without considering a retry. */
     public fun isDeliverable(status: Int): Boolean = !isServerError(status)
@@ -81,6 +85,9 @@
     /** Set the target loads that the next heartbeats carry. Replaces those set before. */
     public data class PublishLoads(val loads: PersistentList<TargetLoad>) : CallEffect
 
+    /** Tell the duty that leases rate limits whether this instance knows of any. */
+    public data class RequestRateLimitShare(val isNeeded: Boolean) : CallEffect
+
     /** Log and measure news on the rate limits of targets. */
     public data class NotifyRateLimit(val notice: RateLimitNotice) : CallEffect
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -15,6 +15,7 @@
 import org.wisteriahinge.core.model.RateLimitReport
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.once.ClaimSettlement
+import org.wisteriahinge.core.ratelimit.RateLimitShare
 
 /** An input to [CallsState.decide]: everything that can change the calls of an instance. */
 public sealed interface CallEvent {
@@ -84,6 +85,9 @@
     /** The `limits` duty changed the shares of the plans that this instance may use from now on. */
     public data class SharesChanged(val shares: UsableShares) : DutyDecision
 
+    /** The part of the targets' rate limits that this instance may use changed. */
+    public data class RateLimitShareChanged(val share: RateLimitShare) : DutyDecision
+
     /** A probe of [target] brought no load report. */
     public data class ProbeFailed(val target: TargetId, val rateLimit: RateLimitReport? = null) :
         CallEvent
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -65,6 +65,7 @@
         is CallEvent.ClaimSettled -> claimSettled(event, now)
         is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
+        is CallEvent.RateLimitShareChanged -> rateLimitShareChanged(event.share, now)
     }
 
 private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
@@ -93,7 +94,8 @@
     val entitlements = listed?.let { own.withTargets(it) } ?: own
     return copy(
         configuration = configuration.copy(entitlements = entitlements),
-        routing = routing.configured(entitlements)
+        routing = routing.configured(entitlements),
+        mostUrgent = mostUrgentOf(entitlements)
     )
 }
 
@@ -121,6 +123,7 @@
 ): CallsDecision {
     val call = CallInProgress(request, checked.caller, checked.matched)
     return withCall(call).runStages(request.callId, now)
+        .then { it.checkRateLimit(checked.matched.service.id, now) }
 }
 
 /** Ends a call without an attempt in progress with [refusal] and removes it from the state. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -15,6 +15,7 @@
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.MatchedOperation
 import org.wisteriahinge.core.model.OperationId
+import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.quarantine.QuarantineState
 import org.wisteriahinge.core.retry.RetryState
@@ -65,6 +66,7 @@
  *
  * @property backendTurns position in the weighted rotation of each route over its backends
  * @property listed the targets listed by a registry; null where the operators' lists name them
+ * @property mostUrgent the rank of the most urgent calls of each service
  * @property held the calls that arrived before the instance could serve them
  */
 public data class CallsState(
@@ -79,6 +81,7 @@
     val surveys: SurveysState = SurveysState(),
     val backendTurns: PersistentMap<OperationId, WeightedRoundRobin> = persistentHashMapOf(),
     val listed: ListedTargets? = null,
+    val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
     val held: HeldCalls = HeldCalls()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/TraceStep.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/TraceStep.kt
@@ -17,13 +17,26 @@
     val rateLimit: Double? = null
 )
 
+/**
+ * The rate limit of a target: [perSecond] requests from all instances together, and [ownPerSecond]
+ * from this one.
+ */
+public data class LimitSnapshot(val id: TargetId, val perSecond: Double, val ownPerSecond: Double)
+
 /** An event or decision recorded for the log of a call. */
 public sealed interface TraceStep {
     public val at: Instant
 
-    /** Attempt [number] was sent to [target]. */
-    public data class Sent(override val at: Instant, val number: Int, val target: TargetSnapshot) :
-        TraceStep
+    /**
+     * Attempt [number] was sent to [target], and not to [passedOver] others whose rate limits
+     * allowed no request.
+     */
+    public data class Sent(
+        override val at: Instant,
+        val number: Int,
+        val target: TargetSnapshot,
+        val passedOver: Int = 0
+    ) : TraceStep
 
     /** The attempt at [target] ended without an answer. */
     public data class Failed(
@@ -45,6 +58,12 @@
     /** An attempt was slow and was not hedged. */
     public data class NotHedged(override val at: Instant, val denial: RetryDenial) : TraceStep
 
+    /** The rate limits of the targets in [limited] allowed no request, and no other was left. */
+    public data class AtRateLimit(
+        override val at: Instant,
+        val limited: PersistentList<LimitSnapshot>
+    ) : TraceStep
+
     /** None of the targets [probed] had spare capacity. */
     public data class NoCapacity(
         override val at: Instant,
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
@@ -224,6 +224,13 @@
         "If the operation may not be repeated, look up whether it took effect first."
     )
 
+    public data object TargetsAtRateLimit : RefusalReason(
+        "targets_at_rate_limit",
+        503,
+        "The backend servers accept no more requests now",
+        "Send the request again after the time in Retry-After."
+    )
+
     public data object AnswerTooSlow : RefusalReason(
         "answer_too_slow",
         504,
--- a/core/src/main/kotlin/org/wisteriahinge/core/ratelimit/RateLimitNotice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ratelimit/RateLimitNotice.kt
@@ -4,11 +4,15 @@
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 
-/** The limit of a [target] in force at this instance. */
+/**
+ * The limit of a [target] in force at this instance: [requestsPerSecond] from all instances
+ * together, and [ownPerSecond] from this one.
+ */
 public data class RateLimitStatus(
     val target: TargetId,
     val service: ServiceId,
-    val requestsPerSecond: Double
+    val requestsPerSecond: Double,
+    val ownPerSecond: Double
 )
 
 /** News on the rate limits of targets, for logs and metrics. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/RoutingState.kt
@@ -111,27 +111,31 @@
     /** Chooses a target for [request]. */
     public fun choose(request: TargetRequest, now: Instant): TargetChoice = when (policy) {
         is RoutingPolicy.LeastExpectedTime -> chooseByScore(request, policy, now)
-        RoutingPolicy.RoundRobin -> chooseUnscored(request) { all, _ ->
+        RoutingPolicy.RoundRobin -> chooseUnscored(request, now) { all, _ ->
             all[(choices % all.size).toInt()]
         }
-        RoutingPolicy.Random -> chooseUnscored(request) { all, random -> all.randomElement(random) }
-        RoutingPolicy.LeastInFlight -> chooseUnscored(request) { all, random ->
+        RoutingPolicy.Random -> chooseUnscored(request, now) { all, random ->
+            all.randomElement(random)
+        }
+        RoutingPolicy.LeastInFlight -> chooseUnscored(request, now) { all, random ->
             val start = random.nextInt(all.size)
             (all.drop(start) + all.take(start)).minBy { it.inFlight }
         }
-        RoutingPolicy.TwoChoices -> chooseUnscored(request) { all, random ->
+        RoutingPolicy.TwoChoices -> chooseUnscored(request, now) { all, random ->
             listOf(all.randomElement(random), all.randomElement(random)).minBy { it.inFlight }
         }
     }
 
     private fun chooseUnscored(
         request: TargetRequest,
+        now: Instant,
         pick: (List<TargetView>, SplittableRandom) -> TargetView
     ): TargetChoice {
-        val candidates = byService[request.service].orEmpty()
-            .filter { it !in request.exclude }
+        val all = byService[request.service].orEmpty()
+        val candidates = all
+            .filter { it !in request.exclude && rateLimits.permits(it, request.urgency, now) }
             .mapNotNull { targets[it] }
-        if (candidates.isEmpty()) return TargetChoice.NoTarget
+        if (candidates.isEmpty()) return noneOf(request, all, now)
         val chosen = pick(candidates, SplittableRandom(seed + choices))
         return TargetChoice.Chosen(copy(choices = choices + 1), chosen.target)
     }
@@ -147,6 +151,7 @@
         now: Instant
     ): RoutingState =
         copy(attempts = attempts.put(attempt, InFlightAttempt(target, now, operation)))
+            .copy(rateLimits = rateLimits.sent(target, now))
             .updateTarget(target) { view ->
                 val waitingSince = if (view.inFlight == 0) now else view.lastProgressAt
                 view.copy(inFlight = view.inFlight + 1, lastProgressAt = waitingSince)
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
@@ -25,7 +25,7 @@
         ?: search.best(candidates(request, all, policy, random))
         ?: search.best(all)
         ?: search.leastFailingEjected(all)
-        ?: return TargetChoice.NoTarget
+        ?: return noneOf(request, all, now)
     return TargetChoice.Chosen(withChoice(best, decisionContext), best.target)
 }
 
@@ -133,6 +133,7 @@
 
     private fun usable(id: TargetId): TargetView? = state.targets[id]
         ?.takeIf { id !in request.exclude && it.inFlight < state.connectionsPerTarget }
+        ?.takeIf { state.rateLimits.permits(id, request.urgency, decisionContext.now) }
         ?.current()
 
     private fun TargetView.current(): TargetView = when (health.state) {
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyVerdict.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyVerdict.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.call.CallInProgress
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.call.urgencyOf
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.Refusal
@@ -41,7 +42,10 @@
     /** The targets [available] have capacity, but each of them works slower than usual. */
     data class SlowCapacity(val available: PersistentSet<TargetId>) : SurveyVerdict
 
-    /** No target is known to have capacity, and some have no recent report. */
+    /**
+     * No target is known to have capacity, and some have no recent report or a rate limit that
+     * allows no request.
+     */
     data object Unknown : SurveyVerdict
 
     /** The call would miss its objective in the queue of each target. */
@@ -55,7 +59,10 @@
     round: SurveyRound,
     now: Instant
 ): SurveyVerdict {
-    val views = probed.mapNotNull { routing.targets[it] }
+    val urgency = urgencyOf(call)
+    val permitted = probed.filter { routing.rateLimits.permits(it, urgency, now) }
+    if (permitted.isEmpty() && probed.isNotEmpty()) return SurveyVerdict.Unknown
+    val views = permitted.mapNotNull { routing.targets[it] }
     val known = views.filter { it.hasRecentReport(now) }
     val withCapacity = known.filter { it.hasCapacity(round) }
     val available = withCapacity.map { it.target.id }.toPersistentSet()
--- a/core/src/test/kotlin/org/wisteriahinge/core/ratelimit/LimitedService.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/ratelimit/LimitedService.kt
@@ -2,7 +2,9 @@
 
 import java.time.Duration
 import java.time.Instant
+import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.call.Attempt
+import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsHarness
 import org.wisteriahinge.core.call.OpenRoutesFixture
@@ -18,6 +20,7 @@
 private val WINDOW: Duration = Duration.ofSeconds(4)
 private const val TOLERANCE_RATIO = 1.5
 private const val TOLERANCE_REQUESTS = 5
+private const val PARTITIONS = 384
 
 /** An attempt in progress: the [instance] gets the answer at [answeredAt]. */
 private class Running(
@@ -44,6 +47,19 @@
     var refused = 0
         private set
 
+    init {
+        instances.forEachIndexed { index, instance ->
+            instance.handle(CallEvent.RateLimitShareChanged(sharedEvenly(index)))
+        }
+    }
+
+    private fun sharedEvenly(index: Int) = RateLimitShare.Leased(
+        (0 until PARTITIONS).filter { it % instances.size == index }.toPersistentSet(),
+        PARTITIONS,
+        heldUntil = Instant.MAX,
+        reducedUntil = Instant.MAX
+    )
+
     /** Sends [perSecond] calls a second, to one instance after the other, for [length]. */
     fun play(perSecond: Int, length: Duration) {
         val gap = Duration.ofSeconds(1).dividedBy(perSecond.toLong())
@@ -64,13 +80,34 @@
         val request = OpenRoutesFixture.request(calls)
             .copy(arrivedAt = now, deadline = now + Duration.ofSeconds(2))
         instance.arriveOpen(request)
-        refused += instance.refusals.size
-        instance.forwarded.forEach { attempt ->
-            arrivals += attempt.target.id to now
-            running += Running(index, calls, attempt, now + SERVICE_TIME)
+        perform(index, calls, instance.effects)
+    }
+
+    /** Probes are answered at once. */
+    private fun perform(index: Int, call: Long, effects: List<CallEffect>) {
+        val instance = instances[index]
+        effects.forEach { effect ->
+            when (effect) {
+                is CallEffect.Refuse -> refused += 1
+                is CallEffect.Forward -> {
+                    arrivals += effect.attempt.target.id to instance.now
+                    val answeredAt = instance.now + SERVICE_TIME
+                    running += Running(index, call, effect.attempt, answeredAt)
+                }
+                is CallEffect.Probe -> {
+                    val target = effect.target.id
+                    val load = OpenRoutesFixture.report(instance.now)
+                    instance.handle(CallEvent.LoadReported(target, load, limitOf(target)))
+                    perform(index, call, instance.effects)
+                }
+                else -> Unit
+            }
         }
     }
 
+    private fun limitOf(target: TargetId): RateLimitReport =
+        limits[target]?.let { RateLimitReport.Limited(it) } ?: RateLimitReport.Unlimited
+
     private fun answerUntil(now: Instant) {
         while (running.isNotEmpty() && running.first().answeredAt <= now) {
             answer(running.removeFirst())
@@ -80,7 +117,6 @@
     private fun answer(done: Running) {
         val instance = instances[done.instance]
         instance.now = done.answeredAt
-        val limit = limits[done.attempt.target.id]?.let { RateLimitReport.Limited(it) }
         val callId = CallId(done.call)
         val report = OpenRoutesFixture.report(done.answeredAt)
         val answered = CallEvent.Answered(
@@ -88,7 +124,7 @@
             done.attempt.id,
             200,
             report,
-            limit ?: RateLimitReport.Unlimited
+            limitOf(done.attempt.target.id)
         )
         instance.handle(answered)
         instance.handle(CallEvent.Completed(callId, done.attempt.id))
