--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
@@ -31,6 +31,10 @@
     /** A target has a longer service time for [length]. */
     data class SlowTarget(val target: Int, val length: Duration) : SoakFault
 
+    /** A target names a limit of [perSecond] requests over all instances for [length]. */
+    data class LimitedTarget(val target: Int, val perSecond: Double, val length: Duration) :
+        SoakFault
+
     /** A target announces that it is draining, and that it is ready again after [length]. */
     data class Drain(val target: Int, val length: Duration) : SoakFault
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
@@ -55,6 +55,11 @@
                 sleep(fault.length)
                 deployment.targets[fault.target].behave(TargetBehaviour(NORMAL_SERVICE_TIME))
             }
+            is SoakFault.LimitedTarget -> recorded(fault) {
+                deployment.targets[fault.target].limitPerSecond = fault.perSecond
+                sleep(fault.length)
+                deployment.targets[fault.target].limitPerSecond = null
+            }
             is SoakFault.Drain -> drain(fault)
             SoakFault.NewConfiguration -> configure()
         }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
@@ -14,6 +14,12 @@
 /** Requests in flight when a configuration takes effect may still see the previous one. */
 private val IN_FLIGHT_OVERLAP: Duration = Duration.ofMillis(250)
 
+/** Time after a target named a limit from which the limit must hold in each window. */
+private val LIMIT_REACTION: Duration = Duration.ofSeconds(3)
+private val LIMIT_WINDOW: Duration = Duration.ofSeconds(4)
+private const val LIMIT_RATIO = 1.5
+private const val LIMIT_EXTRA = 5
+
 private val BUDGET_WINDOW: Duration = Duration.ofSeconds(10)
 private const val BUDGET_RATIO = 0.2
 
@@ -36,6 +42,7 @@
         configurationRollbacks(),
         lateConfigurations(),
         overBudget(),
+        overLimit(),
         requestsCutByStops(),
         failedStops()
     ).flatten().sortedBy { it.at }.toPersistentList()
@@ -135,6 +142,36 @@
         history.requests.count { it.sentAt >= start && it.sentAt < start + BUDGET_WINDOW }
     }
 
+    private fun overLimit(): List<SoakViolation> =
+        events<SoakFault.LimitedTarget>().filter { (event, fault) -> isOnlyLimit(event, fault) }
+            .flatMap { (event, fault) ->
+                val times = history.arrivals.filter { it.target == fault.target }.map { it.at }
+                val since = event.from + LIMIT_REACTION
+                times.filter { it >= since && it + LIMIT_WINDOW < event.until }
+                    .mapNotNull { overLimit(it, times, fault) }
+                    .take(1)
+            }
+
+    private fun overLimit(
+        from: Duration,
+        arrivals: List<Duration>,
+        fault: SoakFault.LimitedTarget
+    ): SoakViolation? {
+        val until = from + LIMIT_WINDOW
+        val inside = arrivals.count { it >= from && it < until }
+        val allowed = LIMIT_RATIO * fault.perSecond * LIMIT_WINDOW.toSeconds() + LIMIT_EXTRA
+        val excused = history.events.any { it.stopsInstance() && it.overlaps(from, until) }
+        if (inside <= allowed || excused) return null
+        val detail = "$inside requests at target ${fault.target}, $allowed allowed"
+        return SoakViolation("limits of targets hold", from, detail)
+    }
+
+    private fun isOnlyLimit(event: SoakEvent, fault: SoakFault.LimitedTarget): Boolean =
+        events<SoakFault.LimitedTarget>().none { (other, limit) ->
+            other != event && limit.target == fault.target &&
+                other.overlaps(event.from, event.until)
+        }
+
     private fun requestsCutByStops(): List<SoakViolation> = stops().flatMap { stop ->
         history.requests.filter {
             it.instance == stop.instance && it.result == SoakResult.Broken &&
@@ -182,6 +219,10 @@
     is SoakEvent.FaultInjected -> (fault as? SoakFault.Kill)?.instance
 }
 
+/** Whether an instance does not keep limits near this event, because it starts or stands still. */
+private fun SoakEvent.stopsInstance(): Boolean =
+    startedInstance() != null || (this as? SoakEvent.FaultInjected)?.fault is SoakFault.Pause
+
 /** Whether instances may get store records late. Any instance may be a relay for others. */
 private fun SoakEvent.delaysPropagation(): Boolean = when (this) {
     is SoakEvent.InstanceStopped, is SoakEvent.UnexpectedExit -> true
@@ -190,7 +231,8 @@
         is SoakFault.Restart, is SoakFault.Kill, is SoakFault.Pause, is SoakFault.StoreLink,
         is SoakFault.StoreDown -> true
         is SoakFault.HangUp, is SoakFault.TargetLink, SoakFault.StoreCompaction,
-        is SoakFault.SlowTarget, is SoakFault.Drain, SoakFault.NewConfiguration -> false
+        is SoakFault.SlowTarget, is SoakFault.LimitedTarget, is SoakFault.Drain,
+        SoakFault.NewConfiguration -> false
     }
 }
 
@@ -201,6 +243,7 @@
         is SoakFault.Restart, is SoakFault.HangUp, is SoakFault.Drain,
         SoakFault.NewConfiguration -> true
         is SoakFault.Kill, is SoakFault.Pause, is SoakFault.TargetLink, is SoakFault.StoreLink,
-        is SoakFault.StoreDown, SoakFault.StoreCompaction, is SoakFault.SlowTarget -> false
+        is SoakFault.StoreDown, SoakFault.StoreCompaction, is SoakFault.SlowTarget,
+        is SoakFault.LimitedTarget -> false
     }
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
@@ -8,10 +8,16 @@
 /** Time without new faults at the start and at the end of a plan. */
 private val QUIET: Duration = Duration.ofSeconds(2)
 private const val LONGEST_GAP_MILLIS = 1_800L
-private const val KINDS = 11
+private const val KINDS = 12
 private const val SHORTEST_MILLIS = 300L
 private const val LONGEST_MILLIS = 3_500L
 
+/** Largest limit that a target names, in requests per second. */
+private const val LARGEST_LIMIT = 6.0
+
+/** A limit must last for some time before it can be checked. */
+private val LIMIT_LENGTH: Duration = Duration.ofSeconds(7)
+
 /** Size of the deployment and length of the fault period. */
 internal data class SoakSize(val instances: Int, val targets: Int, val length: Duration)
 
@@ -46,6 +52,7 @@
         SoakFault.StoreDown(length),
         SoakFault.StoreCompaction,
         SoakFault.SlowTarget(target, length),
+        SoakFault.LimitedTarget(target, random.nextDouble(LARGEST_LIMIT), length + LIMIT_LENGTH),
         SoakFault.Drain(target, length + Duration.ofSeconds(2)),
         SoakFault.NewConfiguration
     )
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/soak/SoakOracleTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/soak/SoakOracleTest.kt
@@ -50,6 +50,18 @@
         expectThat(promises(requests, arrivals)).containsExactly("runs once at most")
     }
 
+    @Test
+    fun `requests beyond the limit of a target are found, once it must hold`() {
+        val fault = SoakFault.LimitedTarget(0, perSecond = 1.0, at(12_000))
+        val limited = SoakEvent.FaultInjected(fault, at(1_000), at(13_000))
+        val requests = (1..12).map { request("r$it", SoakWork.Read) }
+        fun arrivalsFrom(millis: Long) = (1..12).map { arrival("r$it", millis + it * 100) }
+        val events = persistentListOf<SoakEvent>(limited)
+        expectThat(promises(requests, arrivalsFrom(1_000), events)).isEmpty()
+        expectThat(promises(requests, arrivalsFrom(5_000), events))
+            .containsExactly("limits of targets hold")
+    }
+
     @Test
     fun `a refusal of a write that ran is found`() {
         val requests = listOf(request("a", result = answered(503, isGenuine = false)))
