--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/ForeignAnswerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/ForeignAnswerTest.kt
@@ -169,4 +169,21 @@
             expectThat(target.connections.get()).isEqualTo(1)
         }
     }
+
+    @Test
+    fun `an earlier refusal that is written once more does not refuse the next request`() {
+        val serve: RawConnection.(RawMessage) -> Unit = { request ->
+            if (request.header(ID) == "b") {
+                answer("", "$ID: a\r\nNot-Run: 1\r\n", "503 Service Unavailable")
+                answerTo(request)
+            } else {
+                answer("", "$ID: a\r\nNot-Run: 1\r\n", "503 Service Unavailable")
+            }
+        }
+        withTarget(serve) { target, send ->
+            expectThat(send(call("a")).head.status).isEqualTo(503)
+            expectThat(send(call("b")).body.decodeToString()).isEqualTo("b")
+            expectThat(target.connections.get()).isEqualTo(1)
+        }
+    }
 }
