Keep hedges off targets with a rate limit and save up more of a slice

A target in need also should not get requests that are sent in case another one is slow. And a bucket of 1.25 requests is full at just the level that less urgent calls need, so that what came in after that was lost; 1.5 still keeps the sum below one and a half times the limit plus 5 over 4 s (4 L + 1.5 (floor(L) + 3)).

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.core.retry.Hedging
 import org.wisteriahinge.core.retry.RetryDenial
 import org.wisteriahinge.core.routing.TargetChoice
+import org.wisteriahinge.core.routing.TargetRequest
 
 /** Starts a hedge, a parallel attempt, for each repeatable short call with a slow attempt. */
 internal fun CallsState.startHedges(now: Instant): CallsDecision = when (retries.settings.hedging) {
@@ -64,7 +65,7 @@
     val service = call.matched.service.id
     val considered = call.copy(hedgeConsidered = true)
     val spent = retries.withdrawHedge(service, now)
-    val choice = routing.choose(routeRequest(call, now), now)
+    val choice = routing.choose(hedgeRequest(call, now), now)
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
@@ -80,6 +81,12 @@
         .emit(CallEffect.Count(CallCounter.HedgeDenied(service, denial)))
 }
 
+/** A hedge would take a permit of a target with a rate limit from a call that needs it. */
+private fun CallsState.hedgeRequest(call: CallInProgress, now: Instant): TargetRequest {
+    val request = routeRequest(call, now)
+    return request.copy(exclude = request.exclude.addAll(routing.rateLimits.byTarget.keys))
+}
+
 /** A hedge at a busy target delays other requests and rarely speeds up its own call. */
 private fun CallsState.hasFreeSlot(target: TargetId): Boolean {
     val load = routing.targets[target]?.load ?: return true
--- a/core/src/main/kotlin/org/wisteriahinge/core/ratelimit/TargetRateLimit.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ratelimit/TargetRateLimit.kt
@@ -4,7 +4,7 @@
 import org.wisteriahinge.core.limits.TokenBucket
 
 /** Requests that an instance may save up for each of its slices. */
-private const val TOKENS_PER_SLICE = 1.25
+private const val TOKENS_PER_SLICE = 1.5
 
 /**
  * The rate limit of a target: it accepts [requestsPerSecond] from all instances together.
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/RateLimitedCallTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/RateLimitedCallTest.kt
@@ -68,6 +68,16 @@
         expectThat(harness.forwarded).isEmpty()
     }
 
+    @Test
+    fun `a hedge does not take a permit of a target with a limit`() {
+        val harness = harness(targets = 2)
+        harness.arriveAt(1)
+        val first = harness.forwarded.single()
+        harness.limited(if (first.target.id == TargetId("t1")) 2 else 1)
+        harness.now = start.plusMillis(900)
+        expectThat(harness.handle(CallEvent.Ticked).forwarded).isEmpty()
+    }
+
     @Test
     fun `a request to a target with a limit must be sent soon after the decision`() {
         val harness = harness(targets = 1)
