--- a/bench/src/test/kotlin/org/wisteriahinge/bench/FrontPathTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/FrontPathTest.kt
@@ -25,6 +25,8 @@
 import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.runtime.MonotonicClock
 import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 
@@ -190,6 +192,20 @@
         }
     }
 
+    @Test
+    fun `a request that the limits of all targets forbid is refused as not run`() {
+        Deployment().use { deployment ->
+            deployment.targets.forEach { it.limitPerSecond = 0.0 }
+            deployment.start().use { running ->
+                await("ready") { deployment.status(running.ready) == 200 }
+                val answer = deployment.send(running.callers, "/x/1")
+                expectThat(answer.statusCode()).isEqualTo(503)
+                expectThat(answer.body()).contains("targets_at_rate_limit")
+                expectThat(deployment.targets.flatMap { it.ranIds }).isEmpty()
+            }
+        }
+    }
+
     @Test
     fun `the store may go away, forget its history and return`() {
         Deployment().use { deployment ->
