Name the duty that logs calls after the traces that it logs

The type had been renamed from course to CallTrace; its duty, sink and variables kept the old word. The thread keeps its name, which log lines carry. No change of behaviour.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
@@ -11,13 +11,13 @@
 import org.wisteriahinge.core.call.LimitSnapshot
 import org.wisteriahinge.core.call.TargetSnapshot
 import org.wisteriahinge.core.call.TraceStep
-import org.wisteriahinge.runtime.CourseSink
+import org.wisteriahinge.runtime.CallTraceSink
 
 private val logger = KotlinLogging.logger("org.wisteriahinge.calls")
 private const val MICROS_PER_MILLI = 1_000.0
 
 /** Logs each call that was refused, was abandoned by its caller, or took more than one step. */
-public class CallTraceLog : CourseSink {
+public class CallTraceLog : CallTraceSink {
     private val written = AtomicLong()
     private val leftOut = AtomicLong()
 
@@ -33,11 +33,11 @@
         }.register(registry)
     }
 
-    override fun write(course: CallTrace) {
+    override fun write(trace: CallTrace) {
         written.incrementAndGet()
         logger.atInfo {
-            message = course.end.message()
-            payload = course.fields()
+            message = trace.end.message()
+            payload = trace.fields()
         }
     }
 
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallTraceLogTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallTraceLogTest.kt
@@ -48,7 +48,7 @@
     @Test
     fun `a line holds the caller's request id, the known load and the steps`() {
         val report = LoadReport(2, 3, after(-4_000), pacePercent = 120)
-        val course = CallTrace(
+        val trace = CallTrace(
             request,
             ServiceId("ledger"),
             RevisionNumber(5),
@@ -60,7 +60,7 @@
                 TraceStep.NotRetried(after(40_250), RetryDenial.NotRepeatable)
             )
         )
-        expectThat(course.fields()).isEqualTo(
+        expectThat(trace.fields()).isEqualTo(
             mapOf<String, Any>(
                 "request_id" to "c4-17",
                 "call_id" to 7L,
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -27,9 +27,9 @@
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.model.RequestLimits
 import org.wisteriahinge.runtime.CallMessage
+import org.wisteriahinge.runtime.CallTraceDuty
+import org.wisteriahinge.runtime.CallTraceSink
 import org.wisteriahinge.runtime.CallsDuty
-import org.wisteriahinge.runtime.CourseDuty
-import org.wisteriahinge.runtime.CourseSink
 import org.wisteriahinge.runtime.EffectSink
 import org.wisteriahinge.runtime.Offer
 import org.wisteriahinge.runtime.Ring
@@ -52,7 +52,7 @@
  * attempts.
  *
  * Effects for other duties, such as claims and demand reports, go to [otherEffects]. Lines on calls
- * go to the log, or to [courseSink] if there is one.
+ * go to the log, or to [traceSink] if there is one.
  */
 internal class CallPipeline(
     settings: CallPipelineSettings,
@@ -61,7 +61,7 @@
     clock: Clock,
     private val otherEffects: EffectSink<CallEffect>,
     answers: (CallGateway) -> AnswerListener? = { null },
-    courseSink: CourseSink? = null,
+    traceSink: CallTraceSink? = null,
     socket: ListeningSocket? = null
 ) : Closeable {
     private val metrics = CallMetrics()
@@ -73,7 +73,7 @@
         reserved = MAX_CALLS * CallGateway.MESSAGES_PER_CALL
     )
     val gateway = CallGateway(ring, MAX_CALLS)
-    private val courses = CourseDuty(clock, courseSink ?: callLog)
+    private val callTraces = CallTraceDuty(clock, traceSink ?: callLog)
     private val duty = CallsDuty(ring, initial, ::perform, clock)
     private val instanceMetrics = InstanceMetrics(gateway::callsInProgress)
     private val backend = BackendClient(settings.connections)
@@ -123,7 +123,7 @@
 
     /** Starts the duties; events are processed from then on. */
     fun startDuties() {
-        courses.start()
+        callTraces.start()
         duty.start()
     }
 
@@ -137,7 +137,7 @@
     private fun perform(effect: CallEffect) {
         when (effect) {
             is CallEffect.Count -> metrics.count(effect.counter)
-            is CallEffect.LogCall -> courses.submit(effect.trace)
+            is CallEffect.LogCall -> callTraces.submit(effect.trace)
             is CallEffect.NotifyRateLimit -> rateLimits.accept(effect.notice)
             is CallEffect.Probe -> prober.probe(effect.target, effect.path)
             is CallEffect.ForCall -> error("$effect must be handled by the front end of its call")
@@ -154,7 +154,7 @@
     override fun close() {
         server.close()
         duty.stop(STOP_TIMEOUT)
-        courses.stop(STOP_TIMEOUT)
+        callTraces.stop(STOP_TIMEOUT)
         backend.close()
     }
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/WarmUp.kt
@@ -32,7 +32,7 @@
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.Zone
-import org.wisteriahinge.runtime.CourseSink
+import org.wisteriahinge.runtime.CallTraceSink
 
 private val logger = KotlinLogging.logger {}
 
@@ -72,7 +72,7 @@
             PrometheusRegistry(),
             clock,
             { },
-            courseSink = CourseSink.None
+            traceSink = CallTraceSink.None
         )
         val client = BackendClient(ConnectionLimits(perTarget = 2))
         try {
