Leave the group of rate limits when no limited target is left, and at a stop for good

The chart has a final state for a stop, and a new list announces dropped limits. Tests of both; rates in log lines have two decimals.

Tests of core and adapters: green.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
@@ -15,6 +15,7 @@
 
 private val logger = KotlinLogging.logger("org.wisteriahinge.calls")
 private const val MICROS_PER_MILLI = 1_000.0
+private const val HUNDREDTHS = 100.0
 
 /** Logs each call that was refused, was abandoned by its caller, or took more than one step. */
 public class CallTraceLog : CallTraceSink {
@@ -98,7 +99,11 @@
 private fun TraceStep.Sent.passedOverText(): String =
     if (passedOver == 0) "" else ", passing over $passedOver at their rate limits"
 
-private fun LimitSnapshot.describe(): String = "$id (limit $perSecond/s, $ownPerSecond/s here)"
+private fun LimitSnapshot.describe(): String =
+    "$id (limit $perSecond/s, ${ownPerSecond.rounded()}/s here)"
+
+/** Rates of an instance are fractions of what targets name. */
+private fun Double.rounded(): Double = Math.round(this * HUNDREDTHS) / HUNDREDTHS
 
 private fun TargetSnapshot.describe(at: Instant): String {
     val limit = rateLimit?.let { ", limit $it/s" }.orEmpty()
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -83,20 +83,21 @@
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
     } else {
-        CallsDecision(copy(configuration = next).withListedTargets())
+        copy(configuration = next).withListedTargets()
     }
 
 private fun CallsState.targetsListed(targets: ListedTargets): CallsDecision =
-    CallsDecision(copy(listed = targets).withListedTargets())
+    copy(listed = targets).withListedTargets()
 
-private fun CallsState.withListedTargets(): CallsState {
+private fun CallsState.withListedTargets(): CallsDecision {
     val own = configuration.entitlements
     val entitlements = listed?.let { own.withTargets(it) } ?: own
-    return copy(
+    val next = copy(
         configuration = configuration.copy(entitlements = entitlements),
         routing = routing.configured(entitlements),
         mostUrgent = mostUrgentOf(entitlements)
     )
+    return next.announceIfChanged(before = routing.rateLimits)
 }
 
 internal fun CallsState.arrive(request: CallRequest, now: Instant): CallsDecision {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/RateLimitObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/RateLimitObservation.kt
@@ -50,6 +50,10 @@
     }
 }
 
+/** Announces the limits if some were dropped with their targets. */
+internal fun CallsState.announceIfChanged(before: RateLimits): CallsDecision =
+    if (routing.rateLimits == before) CallsDecision(this) else announceRateLimits()
+
 private fun CallsState.announceRateLimits(): CallsDecision = CallsDecision(this)
     .emit(CallEffect.NotifyRateLimit(RateLimitNotice.Changed(rateLimitStatuses())))
     .emit(CallEffect.RequestRateLimitShare(routing.rateLimits.byTarget.isNotEmpty()))
--- a/core/src/main/kotlin/org/wisteriahinge/core/group/GroupChart.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/group/GroupChart.kt
@@ -11,6 +11,7 @@
     public data object Outside : GroupPhase("outside")
     public data object Joining : GroupPhase("joining")
     public data object Member : GroupPhase("member")
+    public data object Stopped : GroupPhase("stopped")
 }
 
 /** The events of the chart `group-membership`. */
@@ -20,6 +21,7 @@
     public data object Joined : GroupTrigger("joined")
     public data object Failed : GroupTrigger("failed")
     public data object Expired : GroupTrigger("expired")
+    public data object Stopping : GroupTrigger("stopping")
 }
 
 /** The effects of transitions in the chart `group-membership`. */
@@ -36,13 +38,19 @@
     loadChartResource(
         "group-membership",
         ChartVocabulary(
-            states = persistentListOf(GroupPhase.Outside, GroupPhase.Joining, GroupPhase.Member),
+            states = persistentListOf(
+                GroupPhase.Outside,
+                GroupPhase.Joining,
+                GroupPhase.Member,
+                GroupPhase.Stopped
+            ),
             events = persistentListOf(
                 GroupTrigger.Needed,
                 GroupTrigger.Unneeded,
                 GroupTrigger.Joined,
                 GroupTrigger.Failed,
-                GroupTrigger.Expired
+                GroupTrigger.Expired,
+                GroupTrigger.Stopping
             ),
             effects = persistentListOf(
                 GroupAction.JoinSoon,
--- a/core/src/main/kotlin/org/wisteriahinge/core/group/GroupState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/group/GroupState.kt
@@ -5,7 +5,6 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.ratelimit.RateLimitShare
 
 /** Time after a join, as the store received it, for which its partitions are no one else's. */
@@ -89,7 +88,6 @@
     val generation: Long = 0,
     val nextJoinAt: Instant = Instant.MAX,
     val heldUntil: Instant = Instant.MAX,
-    val partitions: PersistentSet<Int> = persistentSetOf(),
     val unneededSince: Instant? = null
 ) {
     /** When [GroupEvent.Ticked] is due next. */
@@ -97,11 +95,14 @@
         get() = minOf(nextJoinAt, heldUntil, unneededSince?.plus(LINGER_TIME) ?: Instant.MAX)
 
     /** Decides on [event] at [now]. */
-    public fun decide(event: GroupEvent, now: Instant): GroupDecision = when (event) {
+    public fun decide(event: GroupEvent, now: Instant): GroupDecision =
+        if (phase == GroupPhase.Stopped) GroupDecision(this) else decideUnlessStopped(event, now)
+
+    private fun decideUnlessStopped(event: GroupEvent, now: Instant) = when (event) {
         is GroupEvent.NeedChanged -> needChanged(event.isNeeded, now)
         is GroupEvent.Joined -> step(GroupTrigger.Joined, now, event)
         GroupEvent.JoinFailed -> step(GroupTrigger.Failed, now)
-        GroupEvent.Stopping -> step(GroupTrigger.Unneeded, now)
+        GroupEvent.Stopping -> step(GroupTrigger.Stopping, now)
         GroupEvent.Ticked -> ticked(now)
     }
 
@@ -164,7 +165,6 @@
         )
         val next = copy(
             generation = joined.generation,
-            partitions = joined.partitions,
             heldUntil = held,
             nextJoinAt = now + if (isRebalancing) REBALANCE_PERIOD else JOIN_PERIOD
         )
@@ -172,7 +172,7 @@
     }
 
     private fun leave(): GroupDecision = GroupDecision(
-        GroupState(partitionCount),
+        GroupState(partitionCount, phase),
         persistentListOf(GroupEffect.UseShare(RateLimitShare.None), GroupEffect.Leave)
     )
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/RateLimitedCallTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/RateLimitedCallTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.wisteriahinge.core.call.OpenRoutesFixture.arriveOpen
 import org.wisteriahinge.core.call.OpenRoutesFixture.harness
+import org.wisteriahinge.core.call.OpenRoutesFixture.listing
 import org.wisteriahinge.core.call.OpenRoutesFixture.report
 import org.wisteriahinge.core.call.OpenRoutesFixture.request
 import org.wisteriahinge.core.call.OpenRoutesFixture.start
@@ -99,6 +100,13 @@
         expectThat(harness.effects).contains(CallEffect.RequestRateLimitShare(isNeeded = false))
     }
 
+    @Test
+    fun `no share is requested any more once all targets with limits are gone`() {
+        val harness = harness(targets = 2).limited(2)
+        harness.handle(CallEvent.TargetsListed(listing(1)))
+        expectThat(harness.effects).contains(CallEffect.RequestRateLimitShare(isNeeded = false))
+    }
+
     @Test
     fun `an invalid limit is reported and changes nothing`() {
         val harness = harness(targets = 1)
--- a/core/src/test/kotlin/org/wisteriahinge/core/group/GroupStateTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/group/GroupStateTest.kt
@@ -82,5 +82,6 @@
         val stopped = member.decide(GroupEvent.Stopping, at(500))
         expectThat(stopped.effects).contains(GroupEffect.Leave)
         expectThat(stopped.state.tickDueAt).isEqualTo(Instant.MAX)
+        expectThat(stopped.state.decide(needed, at(600)).state).isEqualTo(stopped.state)
     }
 }
