Ignore limits in answers that are invalid

An answer that fails its checks, such as one with bytes of another, says nothing reliable about its target; its limit was used all the same. Found by reading the diff; no test of its own.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
@@ -61,8 +61,8 @@
         when (val verdict = services.dialect.classify(answer)) {
             is AnswerVerdict.Failed -> {
                 abandon()
-                val isOwn = verdict.failure != AttemptFailure.WrongTarget
-                val rateLimit = if (isOwn) services.dialect.rateLimit.read(answer) else null
+                val rateLimit = services.dialect.rateLimit.read(answer)
+                    ?.takeIf { verdict.failure.isAnswerOfTarget() }
                 listener.failed(this, verdict.failure, TargetReport(load, rateLimit))
             }
             AnswerVerdict.Usable -> {
@@ -150,3 +150,7 @@
         exchange?.abandon()
     }
 }
+
+/** Whether the answer behind this failure came from the target that was meant. */
+private fun AttemptFailure.isAnswerOfTarget(): Boolean =
+    this != AttemptFailure.WrongTarget && this != AttemptFailure.InvalidAnswer
