Take links that break for no crashes of backend servers

What callers see: after the links of an instance broke three times while it sent the same request, all instances refuse this request for ten minutes as one that crashes servers, though no server ended.

Cause: the check after a broken connection took each failure within 250 ms for the end of the process: the failure of the path stood for the state of its end.

Change: a check has three outcomes. A server that refuses has ended only if another one, asked next, answers; silence shows nothing.

--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -146,7 +146,7 @@
             is CallEffect.LogCall -> callTraces.submit(effect.trace)
             is CallEffect.NotifyRateLimit -> rateLimits.accept(effect.notice)
             is CallEffect.Probe -> prober.probe(effect.target, effect.path)
-            is CallEffect.CheckServer -> checker.check(effect.target, effect.path)
+            is CallEffect.CheckServer -> checker.check(effect)
             is CallEffect.ForCall -> error("$effect must be handled by the front end of its call")
             is CallEffect.Claim,
             is CallEffect.EndClaim,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimMessages.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimMessages.kt
@@ -6,6 +6,7 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.TargetLoad
+import org.wisteriahinge.core.quarantine.ServerCheckOutcome
 
 /** What all other instances hear of the suspected requests that [instance] reports now. */
 internal fun Scenario.quarantineMessages(
@@ -52,7 +53,8 @@
     nowMicros: Long
 ): List<TimedEvent> {
     if (!checksServers()) return emptyList()
-    val event = CallEvent.ServerChecked(targetId(target.index), isSameProcess = !target.crashed)
+    val outcome = if (target.crashed) ServerCheckOutcome.Ended else ServerCheckOutcome.Running
+    val event = CallEvent.ServerChecked(targetId(target.index), outcome)
     val at = nowMicros + 2 * delay(instance, target.index)
     return listOf(TimedEvent(at, SimEvent.ToInstance(instance, event)))
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -16,6 +16,7 @@
 import org.wisteriahinge.core.model.RequestDigest
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.once.OnceEvent
+import org.wisteriahinge.core.quarantine.Witness
 import org.wisteriahinge.core.ratelimit.RateLimitNotice
 
 /**
@@ -79,8 +80,15 @@
     public data class PublishQuarantineSummary(val notices: PersistentList<QuarantineNotice>) :
         CallEffect
 
-    /** Check whether the process of [target] still runs, by a request for [path]. */
-    public data class CheckServer(val target: Target, val path: String) : CallEffect
+    /**
+     * Check whether the process of [target] still runs, by a request for [path]. If it does not
+     * answer, an answer of one of the [witnesses] shows that the network is not the cause.
+     */
+    public data class CheckServer(
+        val target: Target,
+        val path: String,
+        val witnesses: PersistentList<Witness>
+    ) : CallEffect
 
     /** Tell all instances that this one counted [crashes] of the request with [digest]. */
     public data class ShareCrashes(val digest: RequestDigest, val crashes: Int) : CallEffect
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -16,6 +16,7 @@
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.TargetStatement
 import org.wisteriahinge.core.once.ClaimSettlement
+import org.wisteriahinge.core.quarantine.ServerCheckOutcome
 import org.wisteriahinge.core.ratelimit.RateLimitShare
 
 /** An input to [CallsState.decide]: everything that can change the calls of an instance. */
@@ -86,8 +87,8 @@
         val notices: PersistentList<QuarantineNotice>
     ) : CrashEvent
 
-    /** A check of [target] ended; [isSameProcess] if the process that was meant has answered. */
-    public data class ServerChecked(val target: TargetId, val isSameProcess: Boolean) :
+    /** A check of [target] ended with [outcome]. */
+    public data class ServerChecked(val target: TargetId, val outcome: ServerCheckOutcome) :
         CrashEvent
 
     /** The instance [from] has counted [crashes] of the request with [digest]. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashEvidence.kt
@@ -9,7 +9,8 @@
 
     /**
      * The connection closed before the whole answer was read, and a check of the server right after
-     * that did not reach the same process. Lost answers and reset connections are thus no crashes.
+     * that showed that its process ended. Lost answers, reset connections and broken links are thus
+     * no crashes.
      */
     public data object EndedServer : CrashEvidence
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
@@ -3,6 +3,7 @@
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallInProgress
@@ -17,6 +18,9 @@
 /** A request whose connection broke, and whose server is being checked. */
 public data class UnverifiedCrash(val key: SuspectKey, val service: ServiceId)
 
+/** Most other servers that are asked whether the network works. */
+private const val MAX_WITNESSES = 3
+
 /** Records that the connection of [call] to [target] broke while the request may have run there. */
 internal fun CallsState.connectionBroke(
     call: CallInProgress,
@@ -44,9 +48,25 @@
     val next = CallsDecision(
         copy(quarantine = quarantine.copy(unverified = quarantine.unverified.put(target.id, all)))
     )
-    return if (waiting.isEmpty()) next.emit(CallEffect.CheckServer(target, path)) else next
+    return if (waiting.isEmpty()) {
+        next.emit(CallEffect.CheckServer(target, path, witnesses(crash.service, target)))
+    } else {
+        next
+    }
 }
 
+/** Other targets, of [service] if it has any, whose answers show that the network works. */
+private fun CallsState.witnesses(service: ServiceId, target: Target): PersistentList<Witness> =
+    routing.targets.values
+        .filter { it.target.id != target.id }
+        .sortedWith(compareBy({ it.service != service }, { it.health.failures }))
+        .take(MAX_WITNESSES)
+        .mapNotNull { view ->
+            val path = configuration.entitlements.services[view.service]?.probePath
+            path?.let { Witness(view.target, it) }
+        }
+        .toPersistentList()
+
 /** Without what waits for a check on account of [call], which was answered meanwhile. */
 internal fun QuarantineState.withoutUnverified(call: CallInProgress): QuarantineState {
     if (unverified.isEmpty()) return this
@@ -65,8 +85,10 @@
     val checked = copy(
         quarantine = quarantine.copy(unverified = quarantine.unverified.remove(event.target))
     )
-    if (event.isSameProcess) return CallsDecision(checked)
-    return waiting.fold(CallsDecision(checked)) { decision, crash ->
-        decision.then { it.recordCrash(crash, now) }
+    return when (event.outcome) {
+        ServerCheckOutcome.Running, ServerCheckOutcome.Unknown -> CallsDecision(checked)
+        ServerCheckOutcome.Ended -> waiting.fold(CallsDecision(checked)) { decision, crash ->
+            decision.then { it.recordCrash(crash, now) }
+        }
     }
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/quarantine/OpenQuarantineTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quarantine/OpenQuarantineTest.kt
@@ -17,6 +17,7 @@
 import org.wisteriahinge.core.model.RequestDigest
 import org.wisteriahinge.core.survey.SurveyPolicy
 import strikt.api.expectThat
+import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -49,7 +50,8 @@
     /** The connection of [attempt] breaks; the check of its server then says [ended]. */
     private fun CallsHarness.breakOff(id: Long, attempt: Attempt, ended: Boolean = true) {
         fail(id, attempt, AttemptFailure.Disconnected, replayable = false)
-        handle(CallEvent.ServerChecked(attempt.target.id, isSameProcess = !ended))
+        val outcome = if (ended) ServerCheckOutcome.Ended else ServerCheckOutcome.Running
+        handle(CallEvent.ServerChecked(attempt.target.id, outcome))
     }
 
     private fun CallsHarness.crash(id: Long) = breakOff(id, send(id))
@@ -70,6 +72,27 @@
         expectThat(harness.state.quarantine.suspects).isEmpty()
     }
 
+    @Test
+    fun `connections that break while no server can be reached are no crashes`() {
+        (1L..9L).forEach {
+            val attempt = harness.send(it)
+            harness.fail(it, attempt, AttemptFailure.Disconnected, replayable = false)
+            harness.handle(CallEvent.ServerChecked(attempt.target.id, ServerCheckOutcome.Unknown))
+        }
+        expectThat(harness.state.quarantine.suspects).isEmpty()
+    }
+
+    @Test
+    fun `a check asks other targets of the service whether the network works`() {
+        val attempt = harness.send(1)
+        val checks = harness.fail(1, attempt, AttemptFailure.Disconnected, replayable = false)
+            .effects.filterIsInstance<CallEffect.CheckServer>()
+        expectThat(checks).single().and {
+            get { witnesses }.hasSize(3)
+            get { witnesses.map { it.target } }.doesNotContain(attempt.target)
+        }
+    }
+
     @Test
     fun `one check decides on all requests whose connections to a target broke at once`() {
         val single = instance(targets = 1)
@@ -79,7 +102,7 @@
                 .effects.count { it is CallEffect.CheckServer }
         }
         val target = attempts.getValue(1).target.id
-        single.handle(CallEvent.ServerChecked(target, isSameProcess = false))
+        single.handle(CallEvent.ServerChecked(target, ServerCheckOutcome.Ended))
         expectThat(checks).isEqualTo(1)
         expectThat(single.state.quarantine.suspects.size).isEqualTo(2)
     }
@@ -110,7 +133,7 @@
         val first = harness.send(1)
         val second = harness.fail(1, first, AttemptFailure.Disconnected).forwarded.single()
         harness.answer(1, second).complete(1, second)
-        harness.handle(CallEvent.ServerChecked(first.target.id, isSameProcess = false))
+        harness.handle(CallEvent.ServerChecked(first.target.id, ServerCheckOutcome.Ended))
         expectThat(harness.state.quarantine.suspects).isEmpty()
     }
 
@@ -120,7 +143,7 @@
         val attempt = harness.send(2)
         harness.answer(2, attempt)
         harness.handle(CallEvent.Truncated(CallId(2), attempt.id))
-        harness.handle(CallEvent.ServerChecked(attempt.target.id, isSameProcess = false))
+        harness.handle(CallEvent.ServerChecked(attempt.target.id, ServerCheckOutcome.Ended))
         expectThat(harness.state.quarantine.suspects.values).single()
             .get { crashes }.isEqualTo(2)
     }
