--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/ServerChecker.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/ServerChecker.kt
@@ -111,5 +111,7 @@
     AttemptFailure.Truncated,
     AttemptFailure.InvalidAnswer -> true
     AttemptFailure.NotSent,
+    AttemptFailure.HandoverDeclined,
+    AttemptFailure.HandoverFailed,
     AttemptFailure.TimedOut -> false
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerVerdict.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerVerdict.kt
@@ -6,7 +6,10 @@
 import org.wisteriahinge.adapters.NotRunFormat
 import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.adapters.handover.HandoverHeaders
+import org.wisteriahinge.adapters.handover.decodeRefusal
 import org.wisteriahinge.core.call.AttemptFailure
+import org.wisteriahinge.core.handover.AttemptPath
 import org.wisteriahinge.core.model.LoadReport
 
 private const val UNAVAILABLE = 503
@@ -21,12 +24,27 @@
     data class Failed(val failure: AttemptFailure) : AnswerVerdict
 }
 
-/** Classifies [answer] by the status and headers that this dialect assigns a meaning to. */
-internal fun WireDialect.classify(answer: BackendAnswer): AnswerVerdict {
-    val failure = notRunFailure(answer) ?: validationFailure(answer)
+/**
+ * Classifies [answer], which came by [path], by the status and headers that this dialect assigns a
+ * meaning to.
+ */
+internal fun WireDialect.classify(
+    answer: BackendAnswer,
+    path: AttemptPath = AttemptPath.Direct
+): AnswerVerdict {
+    val failure = handoverFailure(answer, path) ?: notRunFailure(answer)
+        ?: validationFailure(answer)
     return failure?.let { AnswerVerdict.Failed(it) } ?: AnswerVerdict.Usable
 }
 
+/** The failure when another instance refused the request itself; null otherwise. */
+private fun handoverFailure(answer: BackendAnswer, path: AttemptPath): AttemptFailure? =
+    when (path) {
+        AttemptPath.Direct -> null
+        is AttemptPath.ThroughInstance ->
+            answer.header(HandoverHeaders.REFUSAL)?.let(::decodeRefusal)
+    }
+
 /** The failure when the target states that it did not run the request; null otherwise. */
 private fun WireDialect.notRunFailure(answer: BackendAnswer): AttemptFailure? =
     when (val format = notRun) {
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
@@ -18,6 +18,8 @@
 import org.wisteriahinge.adapters.backend.AnswerBody
 import org.wisteriahinge.adapters.backend.BackendAnswer
 import org.wisteriahinge.adapters.backend.HeaderField
+import org.wisteriahinge.adapters.handover.HandoverHeaders
+import org.wisteriahinge.adapters.handover.encodeRefusal
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Refusal
@@ -100,6 +102,11 @@
         refusal.retryAfter?.let {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds(it))
         }
+        when (services.settings.source) {
+            CallSource.Callers -> Unit
+            is CallSource.Instances ->
+                response.headers().set(HandoverHeaders.REFUSAL, encodeRefusal(refusal))
+        }
         HttpUtil.setContentLength(response, json.size.toLong())
         commit(response, onWritten)
     }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallExchange.kt
@@ -4,10 +4,12 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.adapters.backend.BackendAnswer
+import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.handover.AttemptPath
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.Refusal
@@ -87,7 +89,12 @@
         val capture = AnswerCapture.of(request, services.answerListener)
         val running = RunningAttempt(attempt, services, writer, capture, this)
         attempts = attempts.put(attempt.id, running)
-        running.start(services.backend.send(attempt.target.address, outgoing, running))
+        running.start(clientFor(attempt).send(attempt.target.address, outgoing, running))
+    }
+
+    private fun clientFor(attempt: Attempt): BackendClient = when (attempt.path) {
+        AttemptPath.Direct -> services.backend
+        is AttemptPath.ThroughInstance -> services.peers
     }
 
     private fun cancel(id: AttemptId) {
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallTraceLog.kt
@@ -66,6 +66,7 @@
     "method" to request.method,
     "path" to request.path.substringBefore('?'),
     "service" to service?.value,
+    "from_instance" to request.handover?.from?.value,
     "configuration" to revision.value
 ) + end.fields(crashDigest()) + mapOf(
     "elapsed" to formatMillis(startedAt(), endedAt),
@@ -97,6 +98,8 @@
 
 private fun TraceStep.describe(): String = when (this) {
     is TraceStep.Sent -> "attempt $number sent to ${target.describe(at)}${passedOverText()}"
+    is TraceStep.HandedOver ->
+        "attempt $number handed over to instance $instance: ${cause.wireName}"
     is TraceStep.Failed -> "$target failed: ${failure.wireName}"
     is TraceStep.ErrorAnswered -> "$target answered $status"
     is TraceStep.NotRetried -> "not retried: ${denial.wireName}"
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServer.kt
@@ -22,6 +22,7 @@
  *
  * A request without a timeout gets [defaultTimeout]; no request gets more than [maxTimeout].
  * [answerStallTimeout] is the longest time for which a streamed answer may make no progress.
+ * [source] says who sends the requests.
  */
 public data class CallerServerSettings(
     val host: String,
@@ -31,13 +32,15 @@
     val body: BodyLimits = BodyLimits(),
     val bounds: RequestLimits = RequestLimits(),
     val answerStallTimeout: Duration = Duration.ofSeconds(30),
-    val dialect: WireDialect = WireDialect.Default
+    val dialect: WireDialect = WireDialect.Default,
+    val source: CallSource = CallSource.Callers
 )
 
 /**
  * The components that the caller server uses.
  *
- * Callers are served on the I/O thread of [backend]. The server accepts on [socket], or opens one
+ * Callers are served on the I/O thread of [backend]; calls that are handed over to other instances
+ * are sent by [peers], on the same thread. The server accepts on [socket], or opens one
  * on the configured address if it is null.
  */
 public class CallerServerDependencies(
@@ -48,7 +51,8 @@
     public val counters: EffectSink<CallCounter>,
     public val observer: CallObserver = CallObserver.None,
     public val answerListener: AnswerListener? = null,
-    public val socket: ListeningSocket? = null
+    public val socket: ListeningSocket? = null,
+    public val peers: BackendClient = backend
 )
 
 /** Accepts HTTP/1.1 requests of callers and submits them to the `calls` duty. */
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServices.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CallerServices.kt
@@ -14,6 +14,7 @@
 ) {
     val gateway = dependencies.gateway
     val backend = dependencies.backend
+    val peers = dependencies.peers
     val loop = dependencies.backend.loop
     val clock = dependencies.clock
     val hasher = dependencies.hasher
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -10,8 +10,12 @@
 import org.wisteriahinge.adapters.backend.BackendRequest
 import org.wisteriahinge.adapters.backend.HeaderField
 import org.wisteriahinge.adapters.backend.RequestBody
+import org.wisteriahinge.adapters.handover.HandoverHeaders
+import org.wisteriahinge.adapters.handover.PresentedHandover
+import org.wisteriahinge.adapters.handover.encodeHandover
 import org.wisteriahinge.core.call.Attempt
 import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.handover.AttemptPath
 
 /**
  * A caller's request together with its headers and body, which the `calls` duty does not need.
@@ -36,7 +40,7 @@
         val remaining = Duration.between(now, attempt.deadline)
         val generatedHeaders = listOfNotNull(
             HeaderField(dialect.timeoutHeader, remaining.toMillis().toString()),
-            dialect.expectedTargetHeader?.let { HeaderField(it, attempt.target.id.value) }
+            attempt.destinationHeader(dialect)
         )
         return BackendRequest(
             method = request.method,
@@ -52,6 +56,17 @@
         )
     }
 
+    /** Names the target, or tells the other instance what was decided on the call. */
+    private fun Attempt.destinationHeader(dialect: WireDialect): HeaderField? =
+        when (val way = path) {
+            AttemptPath.Direct ->
+                dialect.expectedTargetHeader?.let { HeaderField(it, target.id.value) }
+            is AttemptPath.ThroughInstance -> {
+                val handover = PresentedHandover(way.peer.token, way.call)
+                HeaderField(HandoverHeaders.CALL, encodeHandover(handover))
+            }
+        }
+
     private fun retryContextHeaders(attempt: Attempt, dialect: WireDialect): List<HeaderField> =
         when (dialect.retryContext) {
             RetryContext.Omitted -> emptyList()
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
@@ -10,6 +10,7 @@
 import org.wisteriahinge.adapters.WireHeaders
 import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.HeaderField
+import org.wisteriahinge.adapters.handover.HandoverHeaders
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), in lower case. */
 private val HOP_BY_HOP = persistentHashSetOf(
@@ -42,7 +43,9 @@
             dialect.load.header.lowercase(),
             dialect.notRun.header.lowercase(),
             dialect.expectedTargetHeader?.lowercase(),
-            dialect.targetId?.lowercase()
+            dialect.targetId?.lowercase(),
+            HandoverHeaders.CALL.lowercase(),
+            HandoverHeaders.REFUSAL.lowercase()
         )
     ).addAll(retryContextHeaders())
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
@@ -1,13 +1,20 @@
 package org.wisteriahinge.adapters.caller
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.map
+import com.github.michaelbull.result.binding
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
+import java.security.MessageDigest
 import java.time.Instant
 import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.RequestBody
+import org.wisteriahinge.adapters.handover.HandoverHeaders
+import org.wisteriahinge.adapters.handover.decodeHandover
 import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.handover.HandedOverCall
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.RefusalReason
 
@@ -18,6 +25,7 @@
     private val request: HttpRequest,
     private val callerAddress: String?,
     private val arrivedAt: Instant,
+    private val handover: HandedOverCall?,
     private val services: CallerServices
 ) {
     private val headers = request.headers()
@@ -58,7 +66,9 @@
             host = headers[HttpHeaderNames.HOST],
             arrivedAt = arrivedAt,
             callerRequestId = callerRequestId,
-            content = receivedContent(body).takeIf { authorization == null }
+            content = receivedContent(body).takeIf { authorization == null },
+            callerAddress = callerAddress,
+            handover = handover
         )
     }
 
@@ -72,11 +82,31 @@
     }
 }
 
-/** Parses the head of [request] from [callerAddress], or returns the reason to refuse it. */
+/** Parses the head of [request] from [peerAddress], or returns the reason to refuse it. */
 internal fun CallerServices.receiveHead(
     callId: CallId,
     request: HttpRequest,
-    callerAddress: String?
-): Result<ReceivedHead, RefusalReason> =
-    parseRequestHead(request.method().name(), request.uri(), request.headers(), dialect)
-        .map { ReceivedHead(callId, it, request, callerAddress, clock.instant(), this) }
+    peerAddress: String?
+): Result<ReceivedHead, RefusalReason> = binding {
+    val handover = receiveHandover(request.headers()).bind()
+    val head =
+        parseRequestHead(request.method().name(), request.uri(), request.headers(), dialect).bind()
+    val callerAddress = if (handover == null) peerAddress else handover.callerAddress
+    val services = this@receiveHead
+    ReceivedHead(callId, head, request, callerAddress, clock.instant(), handover, services)
+}
+
+/** What another instance decided on the call; null for calls of callers. */
+private fun CallerServices.receiveHandover(
+    headers: HttpHeaders
+): Result<HandedOverCall?, RefusalReason> = when (val source = settings.source) {
+    CallSource.Callers -> Ok(null)
+    is CallSource.Instances -> headers[HandoverHeaders.CALL]?.let(::decodeHandover)
+        ?.takeIf { it.token.isSameSecret(source.token) }
+        ?.let { Ok(it.call) }
+        ?: Err(RefusalReason.HandoverNotAuthorized)
+}
+
+/** Compares in constant time, so that the time of a refusal tells nothing of the secret. */
+private fun String.isSameSecret(other: String): Boolean =
+    MessageDigest.isEqual(encodeToByteArray(), other.encodeToByteArray())
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/RunningAttempt.kt
@@ -58,7 +58,7 @@
     override fun answered(answer: BackendAnswer) {
         targetTime = Duration.ofNanos(System.nanoTime() - sentNanos)
         val load = services.dialect.loadReport(answer, services.clock.instant())
-        when (val verdict = services.dialect.classify(answer)) {
+        when (val verdict = services.dialect.classify(answer, attempt.path)) {
             is AnswerVerdict.Failed -> {
                 abandon()
                 val statement = services.dialect.statement.read(answer)
@@ -152,5 +152,16 @@
 }
 
 /** Whether the answer behind this failure came from the target that was meant. */
-private fun AttemptFailure.isAnswerOfTarget(): Boolean =
-    this != AttemptFailure.WrongTarget && this != AttemptFailure.InvalidAnswer
+private fun AttemptFailure.isAnswerOfTarget(): Boolean = when (this) {
+    AttemptFailure.WrongTarget,
+    AttemptFailure.InvalidAnswer,
+    AttemptFailure.HandoverDeclined,
+    AttemptFailure.HandoverFailed -> false
+    AttemptFailure.ConnectFailed,
+    AttemptFailure.Shed,
+    AttemptFailure.TargetDraining,
+    AttemptFailure.NotSent,
+    AttemptFailure.Disconnected,
+    AttemptFailure.Truncated,
+    AttemptFailure.TimedOut -> true
+}
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -40,6 +40,8 @@
         is CallCounter.HedgeDenied ->
             HEDGES_DENIED.with(counter.service.value, counter.denial.wireName)
         is CallCounter.HedgeWon -> HEDGES_WON.with(counter.service.value)
+        is CallCounter.HandedOver ->
+            HANDED_OVER.with(counter.service.value, counter.cause.wireName)
         is CallCounter.CrashSuspected -> CRASHES_SUSPECTED.with(counter.service.value)
         is CallCounter.ProbeSent -> PROBES.with(counter.service.value, "sent")
         is CallCounter.ProbeFailed -> PROBES.with(counter.service.value, "failed")
@@ -98,6 +100,12 @@
         )
         val HEDGES_WON =
             family("wisteriahinge_hedges_won_total", "Hedges that answered first", "service")
+        val HANDED_OVER = family(
+            "wisteriahinge_handed_over_total",
+            "Attempts sent to another instance",
+            "service",
+            "cause"
+        )
         val CRASHES_SUSPECTED = family(
             "wisteriahinge_crashes_suspected_total",
             "Connections broken while a request ran",
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -13,6 +13,7 @@
 import org.wisteriahinge.adapters.caller.AnswerListener
 import org.wisteriahinge.adapters.caller.CallGateway
 import org.wisteriahinge.adapters.caller.CallLog
+import org.wisteriahinge.adapters.caller.CallSource
 import org.wisteriahinge.adapters.caller.CallTraceLog
 import org.wisteriahinge.adapters.caller.CallerServer
 import org.wisteriahinge.adapters.caller.CallerServerDependencies
@@ -40,12 +41,21 @@
 private const val MAX_CALLS = 1_024
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
-/** The server for callers, the connections to targets and the probe format of a [CallPipeline]. */
+/** Connections to each other instance; one that does not accept soon is taken for gone. */
+private val peerConnectionLimits =
+    ConnectionLimits(perTarget = 64, connectTimeout = Duration.ofMillis(150))
+
+/**
+ * The server for callers, the connections to targets and the probe format of a [CallPipeline].
+ *
+ * At [handover] it serves other instances; null if it serves none.
+ */
 internal class CallPipelineSettings(
     val server: CallerServerSettings,
     val connections: ConnectionLimits,
     val credentialKey: String,
-    val probeReader: ProbeReader
+    val probeReader: ProbeReader,
+    val handover: HandoverEndpoint? = null
 )
 
 /**
@@ -89,18 +99,29 @@
         settings.server.dialect.targetId.orEmpty(),
         settings.server.dialect.ownershipOf(emptyList())
     ) { offer(it) }
-    private val server = CallerServer(
-        settings.server,
-        CallerServerDependencies(
-            gateway = gateway,
-            backend = backend,
-            hasher = CredentialHasher(settings.credentialKey.encodeToByteArray()),
-            clock = clock,
-            counters = metrics::count,
-            observer = CallLog { it.added?.let(instanceMetrics::added) },
-            answerListener = answers(gateway),
-            socket = socket
+    private val peers = BackendClient(peerConnectionLimits, backend.loop)
+    private val hasher = CredentialHasher(settings.credentialKey.encodeToByteArray())
+    private val answerListener = answers(gateway)
+    private val server = CallerServer(settings.server, dependencies(clock, socket))
+    private val peerServer = settings.handover?.let { endpoint ->
+        val peerSettings = settings.server.copy(
+            host = endpoint.address.host,
+            port = endpoint.address.port,
+            source = CallSource.Instances(endpoint.token)
         )
+        CallerServer(peerSettings, dependencies(clock, socket = null))
+    }
+
+    private fun dependencies(clock: Clock, socket: ListeningSocket?) = CallerServerDependencies(
+        gateway = gateway,
+        backend = backend,
+        hasher = hasher,
+        clock = clock,
+        counters = metrics::count,
+        observer = CallLog { it.added?.let(instanceMetrics::added) },
+        answerListener = answerListener,
+        socket = socket,
+        peers = peers
     )
 
     /** The registry with all metrics; those of calls and of the JVM are added on first access. */
@@ -123,9 +144,15 @@
         ring.offerBlocking(CallMessage(event))
     }
 
-    fun applyBounds(bounds: RequestLimits) = server.limit(bounds)
+    fun applyBounds(bounds: RequestLimits) {
+        server.limit(bounds)
+        peerServer?.limit(bounds)
+    }
 
-    fun closeIdleConnections() = server.closeIdle()
+    fun closeIdleConnections() {
+        server.closeIdle()
+        peerServer?.closeIdle()
+    }
 
     /** Starts the duties; events are processed from then on. */
     fun startDuties() {
@@ -134,11 +161,14 @@
     }
 
     /**
-     * Starts listening for callers and returns the port in use.
+     * Starts listening for callers and other instances, and returns the port for callers.
      *
-     * @throws java.net.BindException if the address is in use.
+     * @throws java.net.BindException if an address is in use.
      */
-    fun listen(): Int = server.start()
+    fun listen(): Int {
+        peerServer?.start()
+        return server.start()
+    }
 
     private fun perform(effect: CallEffect) {
         when (effect) {
@@ -162,6 +192,7 @@
 
     override fun close() {
         server.close()
+        peerServer?.close()
         duty.stop(STOP_TIMEOUT)
         callTraces.stop(STOP_TIMEOUT)
         backend.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -49,8 +49,9 @@
     socket: ListeningSocket
 ) : Closeable {
     private val registry = PrometheusRegistry()
+    private val endpoint = settings.handover?.let { HandoverEndpoint(it, newHandoverToken()) }
     private val pipeline = CallPipeline(
-        settings.pipelineSettings(settings.callers),
+        settings.pipelineSettings(settings.callers, endpoint),
         settings.initialState(),
         registry,
         clock,
@@ -62,6 +63,9 @@
     private val sources = sources()
     private val rateLimitGroup = rateLimitGroup()
     private val crashCounts = CrashCounts(settings, storeClient, sources.crashes, clock, pipeline)
+    private val instances = endpoint?.let {
+        InstanceDirectory(settings, it, storeClient, sources.instances, clock, pipeline)
+    }
     private val lifecycle = LifecycleDuty(
         settings.gracePeriod.share(DRAIN_SHARE),
         settings.gracePeriod.share(HANDOVER_SHARE),
@@ -137,6 +141,7 @@
             LifecycleAction.AnnounceLeaving -> {
                 logger.info { "leaving; asking callers to close their connections" }
                 pipeline.gateway.announceLeaving()
+                instances?.leave()
             }
             LifecycleAction.RefuseNewCalls -> {
                 logger.info { "draining; refusing new calls" }
@@ -167,6 +172,7 @@
             pipeline.listen()
             admin.start()
             sources.start()
+            instances?.start()
             lifecycle.post(LifecycleEvent.Started)
         } catch (e: IOException) {
             close()
@@ -187,6 +193,7 @@
     override fun close() {
         topics.close()
         crashCounts.close()
+        instances?.close()
         rateLimitGroup.stop(STOP_TIMEOUT)
         admin.close()
         sources.close()
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -7,8 +7,11 @@
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.EarlyCallPolicy
 import org.wisteriahinge.core.call.HeldCalls
+import org.wisteriahinge.core.handover.HandoverPolicy
+import org.wisteriahinge.core.handover.HandoverState
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.quarantine.CrashEvidence
 import org.wisteriahinge.core.quarantine.QuarantineSettings
 import org.wisteriahinge.core.quarantine.QuarantineState
@@ -60,22 +63,27 @@
 /** Callers may send a request that crashes targets again after minutes. */
 private val SUSPICION_PERIOD: Duration = Duration.ofMinutes(10)
 
-/** Settings of the call pipeline that listens at [callers]. */
-internal fun FrontSettings.pipelineSettings(callers: Address): CallPipelineSettings =
-    CallPipelineSettings(
-        CallerServerSettings(
-            host = callers.host,
-            port = callers.port,
-            defaultTimeout = defaultTimeout,
-            maxTimeout = maxTimeout,
-            body = BodyLimits(MAX_BUFFERED_BODY_BYTES, bodyMemoryBytes),
-            dialect = platformDialect
-        ),
-        ConnectionLimits(CONNECTIONS_PER_TARGET, connectTimeout = CONNECT_TIMEOUT),
-        // Open routes have no credentials to compare.
-        credentialKey = name,
-        probeReader = HealthReader
-    )
+/**
+ * Settings of the call pipeline that listens at [callers], and for other instances at [handover].
+ */
+internal fun FrontSettings.pipelineSettings(
+    callers: Address,
+    handover: HandoverEndpoint? = null
+): CallPipelineSettings = CallPipelineSettings(
+    CallerServerSettings(
+        host = callers.host,
+        port = callers.port,
+        defaultTimeout = defaultTimeout,
+        maxTimeout = maxTimeout,
+        body = BodyLimits(MAX_BUFFERED_BODY_BYTES, bodyMemoryBytes),
+        dialect = platformDialect
+    ),
+    ConnectionLimits(CONNECTIONS_PER_TARGET, connectTimeout = CONNECT_TIMEOUT),
+    // Open routes have no credentials to compare.
+    credentialKey = name,
+    probeReader = HealthReader,
+    handover = handover
+)
 
 /** State of the calls duty before the first configuration. */
 internal fun FrontSettings.initialState(): CallsState = CallsState(
@@ -109,5 +117,8 @@
             suspicionPeriod = SUSPICION_PERIOD
         )
     ),
-    held = HeldCalls(EarlyCallPolicy.Held(MAX_EARLY_CALL_WAIT))
+    held = HeldCalls(EarlyCallPolicy.Held(MAX_EARLY_CALL_WAIT)),
+    handover = HandoverState(
+        if (handover == null) HandoverPolicy.Off else HandoverPolicy.ToInstances(InstanceId(name))
+    )
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
@@ -9,7 +9,8 @@
 /**
  * Settings of a [FrontInstance].
  *
- * The process ends within [gracePeriod] after SIGTERM.
+ * The process ends within [gracePeriod] after SIGTERM. At [handover] it takes calls from instances
+ * that cannot reach the targets; null if it neither takes nor hands over calls.
  */
 public class FrontSettings(
     public val name: String,
@@ -22,7 +23,8 @@
     public val defaultTimeout: Duration,
     public val maxTimeout: Duration,
     public val bodyMemoryBytes: Long,
-    public val seed: Long
+    public val seed: Long,
+    public val handover: Address? = null
 )
 
 internal const val DEFAULT_PARTITIONS_PER_TOPIC: Int = 12
--- a/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
@@ -34,6 +34,9 @@
     /** The counts of crashes that instances write. */
     val crashes: KeyedTopic
 
+    /** Where instances take calls from others. */
+    val instances: KeyedTopic
+
     /**
      * Starts serving the topics to other instances if this one is a relay.
      *
@@ -72,12 +75,15 @@
             upstream.topic(PlatformTopics.CRASHES, RARELY_CHANGED_WAIT),
             RecordFilter.EveryRecord
         )
+        override val instances: TopicMirror =
+            mirror(upstream.topic(PlatformTopics.INSTANCES), RecordFilter.EveryRecord)
         private val server = RelayServer(
             ownAddress,
             persistentHashMapOf<String, () -> MirroredRecords>(
                 PlatformTopics.OPERATOR to { configuration.records },
                 PlatformTopics.TARGETS to { targets.records },
-                PlatformTopics.CRASHES to { crashes.records }
+                PlatformTopics.CRASHES to { crashes.records },
+                PlatformTopics.INSTANCES to { instances.records }
             ),
             loop
         )
@@ -110,6 +116,7 @@
         override val configuration = reader.topic(PlatformTopics.OPERATOR)
         override val targets = reader.topic(PlatformTopics.TARGETS)
         override val crashes = reader.topic(PlatformTopics.CRASHES, RARELY_CHANGED_WAIT)
+        override val instances = reader.topic(PlatformTopics.INSTANCES, Duration.ZERO)
 
         override fun start() = Unit
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -29,7 +29,8 @@
     defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
     bodyMemoryBytes = long(Settings.bodyMemoryBytes),
-    seed = seed
+    seed = seed,
+    handover = get(Settings.handoverAddress).takeIf { it.isNotEmpty() }?.let(::address)
 )
 
 private fun address(text: String): Address =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -158,6 +158,12 @@
         "",
         "Addresses of the instances that read the store for the others; empty for none"
     )
+    val handoverAddress = SettingSpec(
+        "handover-address",
+        SettingKind.Address,
+        "",
+        "Address at which this instance takes calls that others cannot serve; empty for none"
+    )
     val storePartitions = SettingSpec(
         "store-partitions",
         SettingKind.Whole("partitions", 1, 1_000),
@@ -219,6 +225,7 @@
         storeAddress,
         relayAddress,
         relays,
+        handoverAddress,
         storePartitions,
         graceSeconds,
         retryRatio,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
@@ -137,6 +137,14 @@
         }
     }
 
+    /** Appends the newest records that [other] holds of [topic] and this store does not. */
+    public fun putNewest(topic: String, other: StandInStore) {
+        val known = topics.get()[topic]?.newest
+        other.topics.get()[topic]?.newest?.values.orEmpty()
+            .filterNot { known?.get(it.key)?.value.contentEquals(it.value) }
+            .forEach { put(topic, it.key, it.value) }
+    }
+
     /** A copy of all topics, to be restored later. */
     public fun copy(): StoreCopy = StoreCopy(topics.get())
 
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/FrontDeployment.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/FrontDeployment.kt
@@ -24,12 +24,20 @@
 private const val ZONE = "zone-a"
 private const val SERVICE = "s-1"
 
-/** A store with targets, which are reached through proxies, and instances that read it. */
-internal class FrontDeployment(targets: Int = 2) : Closeable {
+/**
+ * A store with targets, which are reached through proxies, and instances that read it.
+ *
+ * A deployment that is [sharing] the targets of another one reaches them through proxies of its
+ * own, so that its links break apart from those of the other.
+ */
+internal class FrontDeployment(targets: Int = 2, private val sharing: FrontDeployment? = null) :
+    Closeable {
     val store = StandInStore()
-    val targets = List(targets) { StandInPlatformTarget("i-${it + 1}") }
+    val targets: List<StandInPlatformTarget> =
+        sharing?.targets ?: List(targets) { StandInPlatformTarget("i-${it + 1}") }
+    private val targetPorts: List<Int> = sharing?.targetPorts ?: this.targets.map { it.start() }
     private val storeAddress = Address("127.0.0.1", store.start())
-    val links = this.targets.map { target -> LoopbackProxy(target.start()).also { it.start() } }
+    val links = targetPorts.map { port -> LoopbackProxy(port).also { it.start() } }
     private val client = HttpClient.newHttpClient()
 
     init {
@@ -59,7 +67,8 @@
         val callers = Address("127.0.0.1", socket.port)
         val ready = Address("127.0.0.1", freePort())
         val settings = settings(callers, ready, relays, relay, name)
-        return RunningFront(FrontInstance(settings, MonotonicClock(), socket), callers, ready)
+        val instance = FrontInstance(settings, MonotonicClock(), socket)
+        return RunningFront(instance, callers, ready, settings.handover)
     }
 
     private fun settings(
@@ -79,7 +88,8 @@
         defaultTimeout = Duration.ofSeconds(5),
         maxTimeout = Duration.ofSeconds(10),
         bodyMemoryBytes = 1_048_576,
-        seed = 1
+        seed = 1,
+        handover = Address("127.0.0.1", freePort())
     )
 
     fun status(address: Address): Int = send(address, "/api/ready").statusCode()
@@ -100,14 +110,18 @@
 
     override fun close() {
         links.forEach { it.close() }
-        targets.forEach { it.close() }
+        if (sharing == null) targets.forEach { it.close() }
         store.close()
     }
 }
 
 /** An instance and its addresses. */
-internal class RunningFront(val instance: FrontInstance, val callers: Address, val ready: Address) :
-    Closeable {
+internal class RunningFront(
+    val instance: FrontInstance,
+    val callers: Address,
+    val ready: Address,
+    val handover: Address?
+) : Closeable {
     override fun close() = instance.close()
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ChartCatalog.kt
@@ -9,6 +9,8 @@
 import org.wisteriahinge.core.configuration.configurationChart
 import org.wisteriahinge.core.crashreport.crashReportsChart
 import org.wisteriahinge.core.group.groupChart
+import org.wisteriahinge.core.handover.instanceRecordChart
+import org.wisteriahinge.core.handover.servicePathChart
 import org.wisteriahinge.core.lifecycle.lifecycleChart
 import org.wisteriahinge.core.limits.leaseChart
 import org.wisteriahinge.core.membership.peerChart
@@ -29,9 +31,11 @@
         configurationChart,
         crashReportsChart,
         groupChart,
+        instanceRecordChart,
         lifecycleChart,
         leaseChart,
         peerChart,
+        servicePathChart,
         watchChart
     )
 
@@ -45,7 +49,9 @@
         availabilityChart,
         crashReportsChart,
         groupChart,
+        instanceRecordChart,
         lifecycleChart,
+        servicePathChart,
         watchChart
     )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
@@ -2,6 +2,7 @@
 
 import java.time.Instant
 import org.wisteriahinge.core.admission.releaseOnAnswer
+import org.wisteriahinge.core.handover.AttemptPath
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.quarantine.connectionBroke
 import org.wisteriahinge.core.quarantine.isPossibleAfter
@@ -70,7 +71,9 @@
 
 /** A delivered answer that was cut off may show a crash too, if a check of the server says so. */
 private fun CallsState.observeCutOff(call: CallInProgress, context: AttemptContext): CallsDecision =
-    if (quarantine.settings.evidence.isPossibleAfter(AttemptFailure.Truncated)) {
+    if (context.attempt.path == AttemptPath.Direct &&
+        quarantine.settings.evidence.isPossibleAfter(AttemptFailure.Truncated)
+    ) {
         connectionBroke(call, context.attempt.target, context.now)
     } else {
         CallsDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -6,6 +6,8 @@
 import org.wisteriahinge.core.admission.excludedTargets
 import org.wisteriahinge.core.admission.observeLoad
 import org.wisteriahinge.core.admission.observeShed
+import org.wisteriahinge.core.handover.AttemptPath
+import org.wisteriahinge.core.handover.tryPath
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
@@ -41,19 +43,28 @@
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
     // A call that waited for a target may have been quarantined since it arrived.
     refusalIfQuarantined(call, now)?.let { return refuse(call.request.callId, it, now) }
-    val started = copy(retries = retries.callStarted(call.matched.service.id, now))
-        .acquirePermit(call, now)
-    return when (val choice = routing.choose(routeRequest(call, now), now)) {
-        is TargetChoice.Chosen -> started.forward(call, choice, now)
-        TargetChoice.NoTarget -> refuse(
+    val service = call.matched.service.id
+    val started = countStart(call, now).acquirePermit(call, now)
+    return when (val destination = chooseDestination(call, now)) {
+        is Destination.AtTarget -> started.forward(call, destination.choice, now)
+        is Destination.AtInstance -> started.handOver(call, destination, now)
+        Destination.None -> refuse(
             call.request.callId,
             Refusal(RefusalReason.NoTarget, Execution.NotRun, RETRY_AFTER_NO_TARGET),
             now
         )
-        is TargetChoice.RateLimited -> refuseAtRateLimit(call, choice, now)
-    }
+        is Destination.RateLimited -> refuseAtRateLimit(call, destination.choice, now)
+    }.then { it.tryPath(service, now) }
 }
 
+/** A call that was handed over counts towards the retry budget of the instance it came from. */
+private fun CallsState.countStart(call: CallInProgress, now: Instant): CallsState =
+    if (call.request.handover == null) {
+        copy(retries = retries.callStarted(call.matched.service.id, now))
+    } else {
+        this
+    }
+
 /** Sends the next attempt of [call] to the target of [choice]. */
 internal fun CallsState.forward(
     call: CallInProgress,
@@ -70,30 +81,35 @@
         sendBy = sendBy(choice.target.id, now)
     )
     val passedOver = routing.withoutPermit(routeRequest(call, now), now).size
+    val step =
+        TraceStep.Sent(now, attempt.number, routing.snapshotOf(choice.target.id), passedOver)
+    return copy(routing = choice.routing).launch(call, attempt, step, now)
+        .countPassedOver(call.matched.service.id, passedOver)
+}
+
+/** Records the start of [attempt] and sends it. */
+internal fun CallsState.launch(
+    call: CallInProgress,
+    attempt: Attempt,
+    step: TraceStep,
+    now: Instant
+): CallsDecision {
+    val operation = call.matched.operation
     val started = call.copy(
         attempts = call.attempts.put(
             attempt.id,
             AttemptInProgress(attempt, attemptChart.initial, now)
         ),
         attemptsStarted = attempt.number,
-        triedTargets = call.triedTargets.add(choice.target.id)
-    ).withStep(
-        TraceStep.Sent(now, attempt.number, routing.snapshotOf(choice.target.id), passedOver)
-    )
+        triedTargets = call.triedTargets.add(attempt.target.id)
+    ).withStep(step)
     val next = copy(
         lastAttemptId = attempt.id.value,
         calls = calls.put(call.request.callId, started),
-        routing = choice.routing.attemptStarted(
-            attempt.id,
-            choice.target.id,
-            call.matched.operation.id,
-            now
-        ),
-        admission = admission.attemptStarted(attempt, call.matched.operation.workClass)
+        routing = routing.attemptStarted(attempt.id, attempt.target.id, operation.id, now),
+        admission = admission.attemptStarted(attempt, operation.workClass)
     )
-    return CallsDecision(next)
-        .countPassedOver(call.matched.service.id, passedOver)
-        .emit(CallEffect.Forward(call.request.callId, attempt))
+    return CallsDecision(next).emit(CallEffect.Forward(call.request.callId, attempt))
 }
 
 internal fun CallsState.attemptAnswered(event: CallEvent.Answered, now: Instant): CallsDecision {
@@ -104,13 +120,16 @@
     val seen = copy(routing = routing.attemptResult(event.attemptId, result, now))
         .observeAnswerTime(call, inProgress, now)
         .observeLoad(call, event.load)
+        .observeHandoverAnswer(call, inProgress.attempt)
         .recordErrorAnswer(event, inProgress, now)
-    val cause = RetryCause.ErrorAnswer
-    val rejected = isServerError(event.status) && seen.canReplaceAnswer(call, cause, now)
+    val rejected = isServerError(event.status) &&
+        seen.canReplaceAnswer(call, inProgress.attempt, now)
     val trigger = if (rejected) AttemptTrigger.Rejected else AttemptTrigger.Answered
     return CallsDecision(seen)
         .emit(CallEffect.Count(counted))
-        .then { it.stepAttempt(event.callId, event.attemptId, trigger, now, cause) }
+        .then {
+            it.stepAttempt(event.callId, event.attemptId, trigger, now, RetryCause.ErrorAnswer)
+        }
 }
 
 private fun CallsState.recordErrorAnswer(
@@ -141,14 +160,20 @@
 // An error answer is withheld only if another attempt is in progress or will certainly follow.
 private fun CallsState.canReplaceAnswer(
     call: CallInProgress,
-    cause: RetryCause,
+    attempt: Attempt,
     now: Instant
 ): Boolean = call.attempts.size > 1 ||
-    when (retryVerdictIfEnded(call, cause, now)) {
-        is RetryVerdict.Allowed -> true
-        is RetryVerdict.Denied -> false
+    when (attempt.path) {
+        AttemptPath.Direct -> retryVerdictIfEnded(call, RetryCause.ErrorAnswer, now).isAllowed()
+        // The other instance has decided on retries already.
+        is AttemptPath.ThroughInstance -> false
     }
 
+private fun RetryVerdict.isAllowed(): Boolean = when (this) {
+    is RetryVerdict.Allowed -> true
+    is RetryVerdict.Denied -> false
+}
+
 internal fun CallsState.attemptFailed(event: CallEvent.AttemptFailed, now: Instant): CallsDecision {
     val call = calls[event.callId] ?: return CallsDecision(this)
     if (event.attemptId !in call.attempts) return CallsDecision(this)
@@ -161,6 +186,7 @@
     val counted = CallCounter.AttemptFailed(call.matched.service.id, event.failure)
     return CallsDecision(copy(routing = routing.attemptResult(event.attemptId, result, now)))
         .emit(CallEffect.Count(counted))
+        .update { it.observeHandover(call, event, now) }
         .then { it.observeCrash(call, event, now) }
         .update { it.recordFailure(event, now) }
         .update { if (event.failure.isShed()) it.observeShed(call) else it }
@@ -175,9 +201,13 @@
     event: CallEvent.AttemptFailed,
     now: Instant
 ): CallsDecision {
-    val target = call.attempts[event.attemptId]?.attempt?.target ?: return CallsDecision(this)
+    val attempt = call.attempts[event.attemptId]?.attempt ?: return CallsDecision(this)
     if (!quarantine.settings.evidence.isPossibleAfter(event.failure)) return CallsDecision(this)
-    return connectionBroke(call, target, now)
+    return when (attempt.path) {
+        AttemptPath.Direct -> connectionBroke(call, attempt.target, now)
+        // The instance that sent the request counts crashes of its target.
+        is AttemptPath.ThroughInstance -> CallsDecision(this)
+    }
 }
 
 private fun CallsState.recordFailure(event: CallEvent.AttemptFailed, now: Instant): CallsState {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptFailure.kt
@@ -11,7 +11,8 @@
     internal fun isShed(): Boolean = this == Shed
 
     /** Whether any part of the request may have reached the target. */
-    internal fun mayHaveReachedTarget(): Boolean = this != ConnectFailed && this != NotSent
+    internal fun mayHaveReachedTarget(): Boolean =
+        this != ConnectFailed && this != NotSent && this != HandoverDeclined
 
     /** No connection was made, so nothing was sent. */
     public data object ConnectFailed : AttemptFailure("connect_failed", Execution.NotRun)
@@ -37,6 +38,12 @@
     /** The deadline passed before an answer began. */
     public data object TimedOut : AttemptFailure("timed_out", Execution.MayHaveRun)
 
+    /** The other instance stated that it did not send the request to any target. */
+    public data object HandoverDeclined : AttemptFailure("handover_declined", Execution.NotRun)
+
+    /** The other instance stated that a target may have run the request and gave no answer. */
+    public data object HandoverFailed : AttemptFailure("handover_failed", Execution.MayHaveRun)
+
     /** The answer was not valid HTTP or exceeded a limit. */
     public data object InvalidAnswer : AttemptFailure("invalid_answer", Execution.MayHaveRun)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -2,6 +2,8 @@
 
 import java.time.Duration
 import java.time.Instant
+import org.wisteriahinge.core.handover.AttemptPath
+import org.wisteriahinge.core.handover.HandoverPolicy
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
@@ -12,7 +14,6 @@
 import org.wisteriahinge.core.retry.RetryReason
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.retry.RetryVerdict
-import org.wisteriahinge.core.routing.TargetChoice
 
 /** Retry delay when a fully loaded target rejected the request; its queue shortens within it. */
 private val RETRY_AFTER_FULL: Duration = Duration.ofMillis(250)
@@ -23,8 +24,11 @@
 /** Minimum time left before the deadline for another attempt to be answered. */
 private val MIN_TIME_FOR_ATTEMPT: Duration = Duration.ofMillis(2)
 
-/** Maximum number of attempts of a call that fail without reaching a target. */
-private const val MAX_UNREACHED_ATTEMPTS = 3
+/** Maximum number of attempts of a call from here that fail without reaching a target. */
+internal const val MAX_UNREACHED_ATTEMPTS = 3
+
+/** The same with those through other instances. */
+private const val MAX_UNREACHED_WITH_HANDOVERS = 6
 
 /** Whether [status] may be caused by one target, so that another one may succeed. */
 internal fun isServerError(status: Int): Boolean = when (status) {
@@ -37,7 +41,7 @@
     call: CallInProgress,
     cause: RetryCause,
     now: Instant
-): RetryVerdict = retryVerdict(call.withEndedAttempt(cause), cause, now)
+): RetryVerdict = retryVerdict(call.withEndedAttempt(cause, AttemptPath.Direct), cause, now)
 
 /** Whether [call], which already counts the attempt that ended with [cause], may get another. */
 private fun CallsState.retryVerdict(
@@ -73,10 +77,17 @@
 private fun CallsState.attemptsUsedUp(call: CallInProgress): Boolean {
     val bound = call.matched.operation.bounds.maxTargets
         ?: return call.attemptsStarted >= retries.settings.maxAttempts
-    val unreached = call.attemptsStarted - call.attemptsReceived
-    return call.attemptsReceived >= bound || unreached >= MAX_UNREACHED_ATTEMPTS
+    val maxUnreached = when (handover.policy) {
+        HandoverPolicy.Off -> MAX_UNREACHED_ATTEMPTS
+        is HandoverPolicy.ToInstances -> MAX_UNREACHED_WITH_HANDOVERS
+    }
+    return call.attemptsReceived >= bound || call.unreachedAttempts >= maxUnreached
 }
 
+/** The number of ended attempts that reached no target. */
+internal val CallInProgress.unreachedAttempts: Int
+    get() = attemptsStarted - attempts.size - attemptsReceived
+
 /** The retry state after one more attempt of [call]; null if the budget does not allow it. */
 private fun CallsState.withdrawRetry(call: CallInProgress, now: Instant): RetryState? =
     when (retries.settings.limit) {
@@ -92,9 +103,9 @@
 
 private fun CallsState.denialByState(call: CallInProgress, now: Instant): RetryDenial? = when {
     withdrawRetry(call, now) == null -> RetryDenial.BudgetSpent
-    else -> when (routing.choose(routeRequest(call, now), now)) {
-        is TargetChoice.Chosen -> null
-        TargetChoice.NoTarget, is TargetChoice.RateLimited -> RetryDenial.NoOtherTarget
+    else -> when (chooseDestination(call, now)) {
+        is Destination.AtTarget, is Destination.AtInstance -> null
+        Destination.None, is Destination.RateLimited -> RetryDenial.NoOtherTarget
     }
 }
 
@@ -127,13 +138,15 @@
     AttemptFailure.Disconnected, AttemptFailure.TimedOut -> RetryReason.Disconnected
     AttemptFailure.Truncated -> RetryReason.Truncated
     AttemptFailure.InvalidAnswer -> RetryReason.InvalidAnswer
+    AttemptFailure.HandoverDeclined -> RetryReason.HandoverDeclined
+    AttemptFailure.HandoverFailed -> RetryReason.HandoverFailed
 }
 
 /** Starts another attempt after one that was not answered, or refuses the call. */
 internal fun CallsState.considerRetry(context: AttemptContext): CallsDecision {
     val call = calls[context.callId] ?: return CallsDecision(this)
     val cause = context.cause ?: RetryCause.Failure(AttemptFailure.Disconnected)
-    val counted = call.withEndedAttempt(cause)
+    val counted = call.withEndedAttempt(cause, context.attempt.path)
     if (call.attempts.isNotEmpty()) return CallsDecision(withCall(counted))
     return when (val verdict = retryVerdict(counted, cause, context.now)) {
         is RetryVerdict.Allowed -> withCall(counted).retry(counted, verdict, context.now)
@@ -149,11 +162,23 @@
     }
 }
 
-/** Counts the attempt that ended with [cause]. */
-private fun CallInProgress.withEndedAttempt(cause: RetryCause): CallInProgress = copy(
-    mayHaveRun = mayHaveRun || !cause.isNotRun(),
-    attemptsReceived = attemptsReceived + if (cause.mayHaveReachedTarget()) 1 else 0
-)
+/** Counts the attempt by [path] that ended with [cause]. */
+private fun CallInProgress.withEndedAttempt(cause: RetryCause, path: AttemptPath): CallInProgress =
+    copy(
+        mayHaveRun = mayHaveRun || !cause.isNotRun(),
+        attemptsReceived = attemptsReceived + targetsReached(cause, path)
+    )
+
+/** The most targets that the ended attempt may have reached; another instance may use several. */
+private fun CallInProgress.targetsReached(cause: RetryCause, path: AttemptPath): Int = when {
+    !cause.mayHaveReachedTarget() -> 0
+    path == AttemptPath.Direct || cause.isNotRun() -> 1
+    else -> targetsLeft()?.coerceAtLeast(1) ?: 1
+}
+
+/** The targets that may be used besides those of the attempts so far; null if unlimited. */
+internal fun CallInProgress.targetsLeft(): Int? =
+    matched.operation.bounds.maxTargets?.let { it - attemptsReceived - attempts.size }
 
 private fun RetryCause.mayHaveReachedTarget(): Boolean = when (this) {
     is RetryCause.Failure -> failure.mayHaveReachedTarget()
@@ -168,11 +193,11 @@
     val service = call.matched.service.id
     val counter = CallCounter.Retried(service, verdict.reason)
     val spent = copy(retries = withdrawRetry(call, now) ?: retries)
-    return when (val choice = spent.routing.choose(routeRequest(call, now), now)) {
-        is TargetChoice.Chosen ->
-            CallsDecision(spent).emit(CallEffect.Count(counter))
-                .then { it.forward(call, choice, now) }
-        TargetChoice.NoTarget, is TargetChoice.RateLimited -> refuse(
+    val decision = CallsDecision(spent).emit(CallEffect.Count(counter))
+    return when (val destination = spent.chooseDestination(call, now)) {
+        is Destination.AtTarget -> decision.then { it.forward(call, destination.choice, now) }
+        is Destination.AtInstance -> decision.then { it.handOver(call, destination, now) }
+        Destination.None, is Destination.RateLimited -> refuse(
             call.request.callId,
             call.noTargetRefusal(RETRY_AFTER_FULL),
             now
@@ -206,9 +231,11 @@
             AttemptFailure.Shed,
             AttemptFailure.TargetDraining,
             AttemptFailure.WrongTarget,
-            AttemptFailure.NotSent
+            AttemptFailure.NotSent,
+            AttemptFailure.HandoverDeclined
             -> noTargetRefusal(retryAfter)
             AttemptFailure.Disconnected,
+            AttemptFailure.HandoverFailed,
             AttemptFailure.Truncated,
             AttemptFailure.InvalidAnswer
             -> Refusal(RefusalReason.TargetFailed, execution())
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -41,6 +41,9 @@
     /** A hedge answered before the first attempt. */
     public data class HedgeWon(val service: ServiceId) : CallCounter
 
+    /** An attempt was sent to another instance. */
+    public data class HandedOver(val service: ServiceId, val cause: HandoverCause) : CallCounter
+
     /** An attempt of this instance ended in a way that may be a crash caused by the request. */
     public data class CrashSuspected(val service: ServiceId) : CallCounter
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import org.wisteriahinge.core.handover.AttemptPath
 import org.wisteriahinge.core.limits.Demand
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
@@ -22,6 +23,8 @@
 /**
  * One attempt to have a call answered by one target. [number] starts at 1.
  *
+ * If its [path] leads through another instance, [target] stands for that instance.
+ *
  * An attempt that is not sent by [sendBy] has failed, because another instance may use the target's
  * rate limit by then; null if the target named no limit.
  *
@@ -35,7 +38,8 @@
     val deadline: Instant,
     val noRetry: Boolean = false,
     val isRepeatable: Boolean = true,
-    val sendBy: Instant? = null
+    val sendBy: Instant? = null,
+    val path: AttemptPath = AttemptPath.Direct
 ) {
     /** Whether an answer with [status] is always delivered, without considering a retry. */
     public fun isDeliverable(status: Int): Boolean = !isServerError(status)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
+import org.wisteriahinge.core.handover.PeerInstance
 import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
@@ -107,6 +108,9 @@
     /** The part of the targets' rate limits that this instance may use changed. */
     public data class RateLimitShareChanged(val share: RateLimitShare) : DutyDecision
 
+    /** The registry listed the other instances, which take calls that cannot be served here. */
+    public data class PeersListed(val peers: PersistentList<PeerInstance>) : DutyDecision
+
     /** A probe of [target] brought no load report. */
     public data class ProbeFailed(val target: TargetId, val statement: TargetStatement? = null) :
         CallEvent
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -2,12 +2,14 @@
 
 import java.time.Duration
 import java.time.Instant
+import org.wisteriahinge.core.handover.AttemptPath
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.WorkClass
 import org.wisteriahinge.core.quarantine.isSuspected
 import org.wisteriahinge.core.retry.Hedging
 import org.wisteriahinge.core.retry.RetryDenial
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.TargetChoice
 import org.wisteriahinge.core.routing.TargetRequest
 
@@ -29,9 +31,13 @@
     if (call.hedgeConsidered || !call.mayBeHedged()) return null
     val attempt = call.attempts.values.singleOrNull() ?: return null
     val delay = hedgeDelay(call) ?: return null
-    return if (attempt.state == AttemptState.Sent) attempt.startedAt + delay else null
+    return if (attempt.isHedgeable()) attempt.startedAt + delay else null
 }
 
+/** The instance that a call was handed over to hedges it. */
+private fun AttemptInProgress.isHedgeable(): Boolean =
+    state == AttemptState.Sent && attempt.path == AttemptPath.Direct
+
 /**
  * The service's quantile of answer times, but at most half of the operation's objective, because a
  * later hedge would miss it. Without enough observations, half of the objective.
@@ -65,22 +71,41 @@
     val service = call.matched.service.id
     val considered = call.copy(hedgeConsidered = true)
     val spent = retries.withdrawHedge(service, now)
-    val choice = routing.choose(hedgeRequest(call, now), now)
+    val destination = hedgeDestination(call, now)
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
         shortCallsWait(service) -> RetryDenial.CallsWaiting
         spent == null -> RetryDenial.BudgetSpent
-        choice !is TargetChoice.Chosen -> RetryDenial.NoOtherTarget
-        !hasFreeSlot(choice.target.id) -> RetryDenial.CallsWaiting
-        else -> return CallsDecision(copy(retries = spent))
-            .emit(CallEffect.Count(CallCounter.Hedged(service)))
-            .then { it.forward(considered, choice, now) }
+        else -> when (destination) {
+            Destination.None, is Destination.RateLimited -> RetryDenial.NoOtherTarget
+            is Destination.AtInstance -> return hedged(service, spent)
+                .then { it.handOver(considered, destination, now) }
+            is Destination.AtTarget -> if (hasFreeSlot(destination.choice.target.id)) {
+                return hedged(service, spent)
+                    .then { it.forward(considered, destination.choice, now) }
+            } else {
+                RetryDenial.CallsWaiting
+            }
+        }
     }
     return CallsDecision(withCall(considered.withStep(TraceStep.NotHedged(now, denial))))
         .emit(CallEffect.Count(CallCounter.HedgeDenied(service, denial)))
 }
 
+private fun CallsState.hedged(service: ServiceId, spent: RetryState): CallsDecision =
+    CallsDecision(copy(retries = spent)).emit(CallEffect.Count(CallCounter.Hedged(service)))
+
+/** A hedge goes to another instance only if the targets cannot be reached from here. */
+private fun CallsState.hedgeDestination(call: CallInProgress, now: Instant): Destination {
+    if (handover.isLost(call.matched.service.id)) return chooseDestination(call, now)
+    return when (val choice = routing.choose(hedgeRequest(call, now), now)) {
+        is TargetChoice.Chosen -> Destination.AtTarget(choice)
+        is TargetChoice.RateLimited -> Destination.RateLimited(choice)
+        TargetChoice.NoTarget -> Destination.None
+    }
+}
+
 /** A hedge would take a permit of a target with a rate limit from a call that needs it. */
 private fun CallsState.hedgeRequest(call: CallInProgress, now: Instant): TargetRequest {
     val request = routeRequest(call, now)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.call
 
 import java.time.Instant
+import org.wisteriahinge.core.handover.HandedOverCall
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.CredentialId
 import org.wisteriahinge.core.model.IdempotencyKey
@@ -20,6 +21,8 @@
  * @property arrivedAt when the request head arrived; null means the time of the first decision
  * @property callerRequestId the caller's own id of this request, if it sent one
  * @property content the content of a request without a [digest]
+ * @property callerAddress where the caller's connection came from; null if unknown
+ * @property handover what another instance decided that handed the call over; null for callers
  */
 public data class CallRequest(
     val callId: CallId,
@@ -36,7 +39,9 @@
     val host: String? = null,
     val arrivedAt: Instant? = null,
     val callerRequestId: String? = null,
-    val content: RequestContent? = null
+    val content: RequestContent? = null,
+    val callerAddress: String? = null,
+    val handover: HandedOverCall? = null
 )
 
 /** The content of a request, whose digest is computed only when a decision needs it. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallTrace.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallTrace.kt
@@ -25,7 +25,11 @@
     val steps: PersistentList<TraceStep>
 ) {
     /** Whether the call ended in any other way than by the answer of its only attempt. */
-    internal val needsLogEntry: Boolean get() = end != CallEnd.Answered || steps.size > 1
+    internal val needsLogEntry: Boolean
+        get() = end != CallEnd.Answered || steps.size > 1 || isHandedOver()
+
+    private fun isHandedOver(): Boolean =
+        request.handover != null || steps.any { it is TraceStep.HandedOver }
 }
 
 internal fun CallInProgress.withStep(step: TraceStep): CallInProgress =
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -6,6 +6,7 @@
 import org.wisteriahinge.core.admission.LongCallQuota
 import org.wisteriahinge.core.admission.dispatchQueued
 import org.wisteriahinge.core.admission.refuseExpired
+import org.wisteriahinge.core.handover.observePath
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.Execution
@@ -28,6 +29,7 @@
 /** Decides on [event] at [now]. A pure function: it reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
     observeStatement(event, now)
+        .then { it.observePath(event, now) }
         .then { it.decideEvent(event, now) }
         .then { it.dispatchQueued(now) }
 
@@ -77,6 +79,8 @@
         is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
         is CallEvent.RateLimitShareChanged -> rateLimitShareChanged(event.share, now)
+        is CallEvent.PeersListed ->
+            CallsDecision(copy(handover = handover.listed(event.peers)))
     }
 
 private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
@@ -112,6 +116,7 @@
 }
 
 internal fun CallsState.arrive(request: CallRequest, now: Instant): CallsDecision {
+    request.handover?.let { return arriveHandedOver(request, it, now) }
     val route = request.host?.let { configuration.entitlements.routes.match(it, request.path) }
     return if (route == null) arriveWithPlan(request, now) else arriveOpen(request, route, now)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.admission.AdmissionState
+import org.wisteriahinge.core.handover.HandoverState
 import org.wisteriahinge.core.limits.CallLimits
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
@@ -68,6 +69,7 @@
  * @property listed the targets listed by a registry; null where the operators' lists name them
  * @property mostUrgent the rank of the most urgent calls of each service
  * @property held the calls that arrived before the instance could serve them
+ * @property handover the paths to the targets, and the instances that may have others
  */
 public data class CallsState(
     val configuration: Configuration,
@@ -82,7 +84,8 @@
     val backendTurns: PersistentMap<OperationId, WeightedRoundRobin> = persistentHashMapOf(),
     val listed: ListedTargets? = null,
     val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
-    val held: HeldCalls = HeldCalls()
+    val held: HeldCalls = HeldCalls(),
+    val handover: HandoverState = HandoverState()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.core.handover.HandedOverCall
 import org.wisteriahinge.core.model.Allowance
 import org.wisteriahinge.core.model.Backend
 import org.wisteriahinge.core.model.CallBounds
@@ -12,18 +13,24 @@
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.MatchedOperation
+import org.wisteriahinge.core.model.Operation
+import org.wisteriahinge.core.model.PathTemplate
 import org.wisteriahinge.core.model.Plan
 import org.wisteriahinge.core.model.PlanId
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.Route
 import org.wisteriahinge.core.model.Standing
+import org.wisteriahinge.core.model.WorkClass
 import org.wisteriahinge.core.routing.WeightedRoundRobin
 
 /** Weight of the highest priority in the fair queues. Each lower rank has half the weight. */
 private const val HIGHEST_WEIGHT = 64
 private const val MAX_RANK = 6
 
+/** Calls of other instances in progress here, so that they leave room for the own callers. */
+private const val MAX_HANDED_OVER_CALLS = 256
+
 private val unlimited = Allowance(
     callsPerSecond = Double.MAX_VALUE,
     burstCalls = Int.MAX_VALUE,
@@ -72,6 +79,42 @@
     )
 }
 
+/**
+ * Handles a call that another instance handed over, as that one decided: an older configuration
+ * here changes neither its service nor what may be repeated.
+ */
+internal fun CallsState.arriveHandedOver(
+    request: CallRequest,
+    handover: HandedOverCall,
+    now: Instant
+): CallsDecision {
+    val service = configuration.entitlements.services[handover.service]
+    val refusal = when {
+        service == null -> RefusalReason.NoTarget
+        calls.values.count { it.request.handover != null } >= MAX_HANDED_OVER_CALLS ->
+            RefusalReason.InstanceOverloaded
+        else -> null
+    }
+    if (service == null || refusal != null) {
+        val reason = refusal ?: RefusalReason.NoTarget
+        val answer = Refusal(reason, Execution.NotRun, RETRY_AFTER_NO_TARGET)
+        return refuseOnArrival(request, answer, now)
+    }
+    val operation = Operation(
+        id = handover.operation,
+        method = request.method,
+        path = PathTemplate(request.path.substringBefore('?')),
+        repeatability = handover.repeatability,
+        workClass = WorkClass.Short,
+        bounds = handover.bounds
+    )
+    val checked = CheckedCall(openCaller(handover.bounds), MatchedOperation(service, operation))
+    return checkLimitsOfRequest(checked, request, now).mapBoth(
+        success = { admit(request, it, now) },
+        failure = { refuseOnArrival(request, it.refusal(), now) }
+    )
+}
+
 /**
  * Each instance starts its rotation at another position, so that the weights hold in total even if
  * each instance gets few requests.
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/TraceStep.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/TraceStep.kt
@@ -2,6 +2,7 @@
 
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.retry.RetryDenial
@@ -38,6 +39,14 @@
         val passedOver: Int = 0
     ) : TraceStep
 
+    /** Attempt [number] was sent to [instance], which chooses its target, because of [cause]. */
+    public data class HandedOver(
+        override val at: Instant,
+        val number: Int,
+        val instance: InstanceId,
+        val cause: HandoverCause
+    ) : TraceStep
+
     /** The attempt at [target] ended without an answer. */
     public data class Failed(
         override val at: Instant,
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/handover/HandoverState.kt
@@ -0,0 +1,94 @@
+package org.wisteriahinge.core.handover
+
+import java.time.Duration
+import java.time.Instant
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.model.InstanceId
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.Zone
+
+/** First and longest time for which an instance that took no call is not asked again. */
+private val MIN_AVOIDANCE: Duration = Duration.ofMillis(500)
+private val MAX_AVOIDANCE: Duration = Duration.ofSeconds(8)
+private const val MAX_DOUBLINGS = 4
+
+/** Whether calls that cannot reach their targets from here are handed over. */
+public sealed interface HandoverPolicy {
+    /** They are refused. */
+    public data object Off : HandoverPolicy
+
+    /** They go to another instance; this one is [self]. */
+    public data class ToInstances(val self: InstanceId) : HandoverPolicy
+}
+
+/** Another instance, which takes calls at [address] from those that know its [token]. */
+public data class PeerInstance(
+    val id: InstanceId,
+    val zone: Zone,
+    val address: Address,
+    val token: String
+)
+
+/** A service at another instance. */
+public data class PeerService(val peer: InstanceId, val service: ServiceId)
+
+/** A service that took no call at another instance, [times] in a row, and is avoided for a time. */
+public data class Avoidance(val times: Int, val until: Instant)
+
+/**
+ * What this instance knows of its paths to the targets, and of the instances that may have others.
+ *
+ * [paths] holds the services of which a target failed to answer, and [answered] those of which a
+ * target has answered since the start.
+ */
+public data class HandoverState(
+    val policy: HandoverPolicy = HandoverPolicy.Off,
+    val peers: PersistentMap<InstanceId, PeerInstance> = persistentHashMapOf(),
+    val paths: PersistentMap<ServiceId, ServicePath> = persistentHashMapOf(),
+    val answered: PersistentSet<ServiceId> = persistentSetOf(),
+    val avoided: PersistentMap<PeerService, Avoidance> = persistentHashMapOf()
+) {
+    /** Whether no target of [service] can be reached from here. */
+    public fun isLost(service: ServiceId): Boolean = paths[service]?.isLost == true
+
+    /** Replaces the known instances. One that started anew is asked again. */
+    internal fun listed(all: PersistentList<PeerInstance>): HandoverState {
+        val next = all.fold(persistentHashMapOf<InstanceId, PeerInstance>()) { map, peer ->
+            map.put(peer.id, peer)
+        }
+        val same = avoided.filterKeys { next[it.peer] != null && next[it.peer] == peers[it.peer] }
+        return copy(
+            peers = next,
+            avoided = same.entries.fold(persistentHashMapOf()) { map, (key, value) ->
+                map.put(key, value)
+            }
+        )
+    }
+
+    internal fun isAvoided(peer: InstanceId, service: ServiceId, now: Instant): Boolean =
+        avoided[PeerService(peer, service)]?.let { it.until > now } == true
+
+    /** Whether the last call of [service] that [peer] was asked to take was not taken. */
+    internal fun hasRejected(peer: InstanceId, service: ServiceId): Boolean =
+        PeerService(peer, service) in avoided
+
+    /** [peer] took a call of [service]. */
+    internal fun accepted(peer: InstanceId, service: ServiceId): HandoverState {
+        val key = PeerService(peer, service)
+        return if (key in avoided) copy(avoided = avoided.remove(key)) else this
+    }
+
+    /** [peer] took no call of [service], or did not answer. */
+    internal fun rejected(peer: InstanceId, service: ServiceId, now: Instant): HandoverState {
+        val key = PeerService(peer, service)
+        val times = (avoided[key]?.times ?: 0) + 1
+        val doubled = MIN_AVOIDANCE.multipliedBy(1L shl (times - 1).coerceAtMost(MAX_DOUBLINGS))
+        val until = now + minOf(doubled, MAX_AVOIDANCE)
+        return copy(avoided = avoided.put(key, Avoidance(times, until)))
+    }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
@@ -56,6 +56,13 @@
         "Check the method and the path."
     )
 
+    public data object HandoverNotAuthorized : RefusalReason(
+        "handover_not_authorized",
+        403,
+        "Not a call of another instance",
+        "Send calls to the address that serves callers; this one is for instances."
+    )
+
     public data object MalformedRequest : RefusalReason(
         "malformed_request",
         400,
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
@@ -7,6 +7,8 @@
     public data object WrongTarget : RetryReason("wrong_target")
     public data object ConnectFailed : RetryReason("connect_failed")
     public data object NotSent : RetryReason("not_sent")
+    public data object HandoverDeclined : RetryReason("handover_declined")
+    public data object HandoverFailed : RetryReason("handover_failed")
     public data object Disconnected : RetryReason("disconnected")
     public data object Truncated : RetryReason("truncated")
     public data object InvalidAnswer : RetryReason("invalid_answer")
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/AttemptObservation.kt
@@ -87,7 +87,10 @@
         view.health.step(AvailabilityTrigger.DrainAnnounced, context)
     AttemptFailure.Shed -> view.health.shed(context)
     AttemptFailure.TimedOut -> view.health.answered(TIMEOUT_LATENCY_RATIO, context)
-    AttemptFailure.NotSent -> view.health
+    // No failures of this target.
+    AttemptFailure.NotSent,
+    AttemptFailure.HandoverDeclined,
+    AttemptFailure.HandoverFailed -> view.health
 }
 
 /** Whether one more target of [service] may be ejected; at most half of them are at any time. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
@@ -15,6 +15,8 @@
 import org.wisteriahinge.core.call.sendProbe
 import org.wisteriahinge.core.call.snapshotsOf
 import org.wisteriahinge.core.call.withStep
+import org.wisteriahinge.core.handover.Unanswered
+import org.wisteriahinge.core.handover.targetUnanswered
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.LoadReport
 import org.wisteriahinge.core.model.TargetId
@@ -26,7 +28,13 @@
 internal fun CallsState.enterSurvey(call: CallInProgress, now: Instant): StageOutcome =
     when (val policy = surveys.policy) {
         SurveyPolicy.Off -> StageOutcome.Passed(CallsDecision(this))
-        is SurveyPolicy.BeforeEach -> startFirstRound(call, policy, now)
+        is SurveyPolicy.BeforeEach ->
+            if (handover.isLost(call.matched.service.id)) {
+                // Targets that cannot be reached have nothing to report.
+                StageOutcome.Passed(CallsDecision(this))
+            } else {
+                startFirstRound(call, policy, now)
+            }
     }
 
 private fun CallsState.startFirstRound(
@@ -123,13 +131,24 @@
     .fold(CallsDecision(this)) { decision, (callId, survey) ->
         decision
             .update { it.copy(routing = it.routing.probesTimedOut(survey.awaiting, now)) }
+            .then { it.observeSilence(survey.awaiting, now) }
             .then { it.endRound(callId, survey, now) }
     }
 
+private fun CallsState.observeSilence(
+    silent: PersistentSet<TargetId>,
+    now: Instant
+): CallsDecision = silent.fold(CallsDecision(this)) { decision, target ->
+    decision.then { it.targetUnanswered(target, Unanswered.Silently, now) }
+}
+
 /** Resumes the call, starts its second round, or refuses it. */
 private fun CallsState.endRound(callId: CallId, survey: Survey, now: Instant): CallsDecision {
     val closed = copy(surveys = surveys.withoutSurvey(callId))
     val call = calls[callId] ?: return CallsDecision(closed)
+    if (handover.isLost(call.matched.service.id)) {
+        return closed.resumeAfter(CallStage.Survey, callId, now)
+    }
     val more = when (survey.round) {
         SurveyRound.First -> closed.startSecondRound(call, survey.probed, now)
         SurveyRound.Second -> null
