--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -17,11 +17,13 @@
 import org.wisteriahinge.bench.policy.DEEP_CALLS
 import org.wisteriahinge.bench.policy.POISON_FRONT
 import org.wisteriahinge.bench.policy.SCENARIOS
+import org.wisteriahinge.bench.policy.STRANDED
 import org.wisteriahinge.bench.policy.Scenario
 import org.wisteriahinge.bench.policy.TARGET_LIMITS
 import org.wisteriahinge.bench.policy.runDeepCalls
 import org.wisteriahinge.bench.policy.runPoisonFront
 import org.wisteriahinge.bench.policy.runPolicies
+import org.wisteriahinge.bench.policy.runStranded
 import org.wisteriahinge.bench.policy.runTargetLimits
 import org.wisteriahinge.bench.soak.SOAK
 import org.wisteriahinge.bench.soak.SOAK_REGRESSIONS
@@ -46,9 +48,15 @@
     val instances by parser.option(
         ArgType.Int,
         "instances",
-        description = "Instances in a soak or poison-front"
+        description = "Instances in a soak, poison-front or stranded"
     )
         .default(4)
+    val share by parser.option(
+        ArgType.Double,
+        "share",
+        description = "Share of the instances in stranded that lose their links"
+    )
+        .default(0.6)
     val starts by parser.option(ArgType.Int, "starts", description = "Starts in start-cost")
         .default(5)
     val root by parser.option(
@@ -72,6 +80,7 @@
         name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
         name == TARGET_LIMITS -> println(runTargetLimits(seed.toLong()))
         name == POISON_FRONT -> println(runPoisonFront(instances, seed.toLong()))
+        name == STRANDED -> println(runStranded(instances, share, seed.toLong()))
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
@@ -86,7 +95,15 @@
 
 private fun refuse(name: String): Nothing {
     val others =
-        listOf(DEEP_CALLS, POISON_FRONT, TARGET_LIMITS, CONFIG_SPREAD, CAPACITY, START_COST)
+        listOf(
+            DEEP_CALLS,
+            POISON_FRONT,
+            STRANDED,
+            TARGET_LIMITS,
+            CONFIG_SPREAD,
+            CAPACITY,
+            START_COST
+        )
     val known = (SCENARIOS.map { it.name } + others).joinToString()
     System.err.println("unknown scenario $name; expected demo or one of: $known")
     exitProcess(2)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/RunResult.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.HdrHistogram.Histogram
+import org.wisteriahinge.core.model.Repeatability
 import org.wisteriahinge.core.routing.PROBE_COST_MILLIS
 
 /** How a request ended. */
@@ -26,7 +27,8 @@
 
 /**
  * What a run recorded. [probes] counts probes by target and second. [crashTimes] and
- * [crashingSends] hold times in microseconds by the origin of a crashing request.
+ * [crashingSends] hold times in microseconds by the origin of a crashing request, and [runs] those
+ * of requests that may not be repeated, by their id.
  */
 internal data class RunResult(
     val scenario: Scenario,
@@ -39,9 +41,18 @@
     val crashes: PersistentMap<Long, Int> = persistentHashMapOf(),
     val limitedArrivals: PersistentList<LimitedArrival> = persistentListOf(),
     val crashTimes: PersistentMap<Long, PersistentList<Long>> = persistentHashMapOf(),
-    val crashingSends: PersistentMap<Long, PersistentList<Long>> = persistentHashMapOf()
+    val crashingSends: PersistentMap<Long, PersistentList<Long>> = persistentHashMapOf(),
+    val runs: PersistentMap<Long, PersistentList<Long>> = persistentHashMapOf()
 )
 
+/** Records that a target began to run [request] at [atMicros], if that may happen once only. */
+internal fun RunResult.ran(request: SimRequest, atMicros: Long): RunResult =
+    when (request.kind.repeatability) {
+        Repeatability.Repeatable -> this
+        Repeatability.AtMostOnce, Repeatability.OncePerRequest ->
+            copy(runs = runs.adding(request.id, atMicros))
+    }
+
 /** Records that the request [origin] crashed a target at [atMicros]. */
 internal fun RunResult.crashed(origin: Long, atMicros: Long): RunResult =
     copy(crashTimes = crashTimes.adding(origin, atMicros))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
@@ -104,6 +104,7 @@
     val limitSharing: LimitSharing = LimitSharing.Ignored,
     val callers: SimCallers = SimCallers.Customers,
     val resending: Resending = Resending(),
+    val stranding: Stranding? = null,
     val reference: Reference? = null,
     val extraFields: (RunResult) -> Map<String, Double> = { emptyMap() }
 ) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
@@ -26,7 +26,8 @@
         routing,
         retries = retries,
         surveys = surveys,
-        quarantine = initialQuarantine()
+        quarantine = initialQuarantine(),
+        handover = initialHandover(index)
     )
         .decide(CallEvent.Configured(configuration(1)), Instant.EPOCH).state
         .decide(members, Instant.EPOCH).state
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimMessages.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimMessages.kt
@@ -2,10 +2,12 @@
 
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
+import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.TargetLoad
+import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.quarantine.ServerCheckOutcome
 
 /** What all other instances hear of the suspected requests that [instance] reports now. */
@@ -59,6 +61,38 @@
     return listOf(TimedEvent(at, SimEvent.ToInstance(instance, event)))
 }
 
+/** A connection attempt to a target that is silent is given up after this time. */
+private const val CONNECT_TIMEOUT_MICROS = 400_000L
+private const val PROBE_TIMEOUT_MICROS = 250_000L
+private const val REFUSAL_MICROS = 2_000L
+
+/** What the sender of attempt [key] learns while its links are cut off in this way. */
+internal fun CutLink.connectFailure(
+    request: SimRequest,
+    key: AttemptKey,
+    nowMicros: Long
+): List<TimedEvent> {
+    val event = failure(CallId(request.id), key, AttemptFailure.ConnectFailed)
+    val after = when (this) {
+        CutLink.Silent -> CONNECT_TIMEOUT_MICROS
+        CutLink.Refusing -> REFUSAL_MICROS
+    }
+    return listOf(TimedEvent(nowMicros + after, SimEvent.ToInstance(key.instance, event)))
+}
+
+/** A probe of [target], or its failure if the links of [instance] are cut off. */
+internal fun Scenario.probeMessages(instance: Int, target: Int, nowMicros: Long): List<TimedEvent> {
+    val failed = SimEvent.ToInstance(instance, CallEvent.ProbeFailed(targetId(target)))
+    return when (cutLink(instance, nowMicros)) {
+        null -> {
+            val at = nowMicros + delay(instance, target)
+            listOf(TimedEvent(at, SimEvent.ReachProbe(target, instance)))
+        }
+        CutLink.Silent -> listOf(TimedEvent(nowMicros + PROBE_TIMEOUT_MICROS, failed))
+        CutLink.Refusing -> listOf(TimedEvent(nowMicros + REFUSAL_MICROS, failed))
+    }
+}
+
 /** The answer of [target] to a probe of [instance] that reached it at [now]. */
 internal fun Scenario.probeAnswer(
     instance: Int,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -15,12 +15,14 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
+import org.wisteriahinge.core.handover.AttemptPath
 import org.wisteriahinge.core.membership.TargetLoad
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.LoadReport
+import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.once.ClaimSettlement
 import org.wisteriahinge.core.routing.RoutingState
 
@@ -46,6 +48,7 @@
     private var unlisted: PersistentSet<Int> = persistentSetOf()
     private var onTheWay: PersistentList<Int> = List(scenario.targets) { 0 }.toPersistentList()
     private var targets = scenario.initialTargets()
+    private var handovers = SimHandovers()
     private var instances: PersistentList<CallsState> = when (policy) {
         is BenchPolicy.Decided -> List(scenario.instances) {
             scenario.initialState(it, policy, seed)
@@ -110,7 +113,7 @@
             scenario.idealCost(it, onTheWay[it.index], scenario.delay(request.instance, it.index))
         }
         if (target == null) return ended(request, Ending.Refused)
-        send(request, AttemptId(request.id), target.index)
+        send(request, AttemptKey(request.instance, AttemptId(request.id)), target.index)
     }
 
     private fun toInstance(instance: Int, event: CallEvent) = when (policy) {
@@ -135,13 +138,12 @@
 
     private fun perform(instance: Int, effect: CallEffect, cause: CallEvent) {
         when (effect) {
-            is CallEffect.Forward -> forward(effect)
+            is CallEffect.Forward -> forward(instance, effect)
             is CallEffect.Deliver -> {
-                val status = (cause as CallEvent.Answered).status
-                ended(requestOf(effect.callId), Ending.Answered(status))
+                deliver(PeerCall(instance, effect.callId), (cause as CallEvent.Answered).status)
                 toInstance(instance, CallEvent.Completed(effect.callId, effect.attemptId))
             }
-            is CallEffect.Refuse -> ended(requestOf(effect.callId), Ending.Refused)
+            is CallEffect.Refuse -> refuse(PeerCall(instance, effect.callId), effect.refusal)
             is CallEffect.CancelAttempt -> cancel(AttemptKey(instance, effect.attemptId))
             // The simulation measures routing; claims are granted at once.
             is CallEffect.Claim -> toInstance(
@@ -156,8 +158,7 @@
                 schedule(scenario.quarantineMessages(instance, effect.notices, nowMicros))
             is CallEffect.Probe -> {
                 val target = targetIndex(effect.target.id)
-                val at = nowMicros + scenario.delay(instance, target)
-                schedule(at, SimEvent.ReachProbe(target, instance))
+                schedule(scenario.probeMessages(instance, target, nowMicros))
             }
             is CallEffect.PublishLoads -> told = told.set(instance, effect.loads)
             is CallEffect.CheckServer -> {
@@ -173,22 +174,61 @@
         }
     }
 
-    private fun forward(effect: CallEffect.Forward) {
+    /** Passes the answer to the caller, or to the instance that handed the call over. */
+    private fun deliver(call: PeerCall, status: Int) {
+        val sender = handovers.attemptOf(call)
+            ?: return ended(requestOf(call.callId), Ending.Answered(status))
+        val answer = CallEvent.Answered(call.callId, sender.attempt, status, load = null)
+        returnToSender(call, sender, answer)
+    }
+
+    private fun refuse(call: PeerCall, refusal: Refusal) {
+        val sender = handovers.attemptOf(call)
+            ?: return ended(requestOf(call.callId), Ending.Refused)
+        returnToSender(call, sender, failure(call.callId, sender, handoverFailure(refusal)))
+    }
+
+    private fun returnToSender(call: PeerCall, sender: AttemptKey, event: CallEvent) {
+        handovers = handovers.without(call)
+        val at = nowMicros + scenario.delay(call.instance, sender.instance)
+        schedule(at, SimEvent.ToInstance(sender.instance, event))
+    }
+
+    private fun handOver(
+        sender: AttemptKey,
+        effect: CallEffect.Forward,
+        path: AttemptPath.ThroughInstance
+    ) {
+        val peer = instanceIndex(path.peer.id)
+        handovers = handovers.with(PeerCall(peer, effect.callId), sender)
+        val request = requestOf(effect.callId)
+        val arrival = scenario.handoverArrival(request, effect.attempt, path, instant())
+        val at = nowMicros + scenario.delay(sender.instance, peer)
+        schedule(at, SimEvent.ToInstance(peer, arrival))
+    }
+
+    private fun forward(instance: Int, effect: CallEffect.Forward) {
         val origin = requestOf(effect.callId).takeIf { it.kind.crashes }?.origin
         if (origin != null) result = result.sentCrashing(origin, nowMicros)
         val isRetry = effect.attempt.number > 1
         result = result.copy(retries = result.retries + if (isRetry) 1 else 0)
-        send(requestOf(effect.callId), effect.attempt.id, targetIndex(effect.attempt.target.id))
+        val key = AttemptKey(instance, effect.attempt.id)
+        when (val path = effect.attempt.path) {
+            AttemptPath.Direct ->
+                send(requestOf(effect.callId), key, targetIndex(effect.attempt.target.id))
+            is AttemptPath.ThroughInstance -> handOver(key, effect, path)
+        }
     }
 
-    private fun send(request: SimRequest, attempt: AttemptId, target: Int) {
-        val key = AttemptKey(request.instance, attempt)
+    private fun send(request: SimRequest, key: AttemptKey, target: Int) {
+        val cut = scenario.cutLink(key.instance, nowMicros)
+        if (cut != null) return schedule(cut.connectFailure(request, key, nowMicros))
         val sent = SimAttempt(request, key, request.workMicros)
         placed = placed.put(key, target)
         onTheWay = onTheWay.set(target, onTheWay[target] + 1)
         result = result.copy(attempts = result.attempts + 1)
         schedule(
-            nowMicros + scenario.delay(request.instance, target),
+            nowMicros + scenario.delay(key.instance, target),
             SimEvent.ReachTarget(target, sent)
         )
         val deadline = request.atMicros + scenario.deadlineMillis * MICROS_PER_MILLI
@@ -196,6 +236,7 @@
     }
 
     private fun cancel(key: AttemptKey) {
+        handovers.callOf(key)?.let { return cancelHandover(key, it) }
         val target = placed[key] ?: return
         placed = placed.remove(key)
         schedule(
@@ -204,6 +245,12 @@
         )
     }
 
+    private fun cancelHandover(key: AttemptKey, call: PeerCall) {
+        handovers = handovers.without(call)
+        val at = nowMicros + scenario.delay(key.instance, call.instance)
+        schedule(at, SimEvent.ToInstance(call.instance, CallEvent.CallerGone(call.callId)))
+    }
+
     private fun deadline(event: SimEvent.Deadline) {
         if (event.key !in placed) return
         cancel(event.key)
@@ -239,6 +286,7 @@
             val arrival = LimitedArrival(target.index, nowMicros)
             result = result.copy(limitedArrivals = result.limitedArrivals.add(arrival))
         }
+        result = result.ran(attempt.request, nowMicros)
         val work = if (target.failFast) attempt.workMicros / 10 else attempt.workMicros
         update(target.accept(attempt.copy(workMicros = work), nowMicros))
     }
@@ -257,9 +305,16 @@
     }
 
     private fun reply(target: SimTarget, attempt: SimAttempt, event: CallEvent) {
+        val heard = when (scenario.cutLink(attempt.key.instance, nowMicros)) {
+            null -> event
+            // The deadline of the attempt ends it.
+            CutLink.Silent -> return
+            CutLink.Refusing ->
+                failure(CallId(attempt.request.id), attempt.key, AttemptFailure.Disconnected)
+        }
         placed = placed.remove(attempt.key)
         val at = nowMicros + scenario.delay(attempt.key.instance, target.index)
-        schedule(at, SimEvent.ToInstance(attempt.key.instance, event))
+        schedule(at, SimEvent.ToInstance(attempt.key.instance, heard))
     }
 
     private fun update(changed: SimTarget) {
