Ask instances first that are known to serve a lost service

Cause: all instances that were not asked yet counted alike, and up to six were asked for a call.

Change: an instance that took the last call comes first, one that was never asked next; one that hands calls over itself is taken for cut off by the instance that it asks. Up to twelve are asked.

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -28,7 +28,7 @@
 internal const val MAX_UNREACHED_ATTEMPTS = 3
 
 /** The same with those through other instances. */
-private const val MAX_UNREACHED_WITH_HANDOVERS = 6
+private const val MAX_UNREACHED_WITH_HANDOVERS = 12
 
 /** Whether [status] may be caused by one target, so that another one may succeed. */
 internal fun isServerError(status: Int): Boolean = when (status) {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
@@ -81,12 +81,20 @@
 
 /**
  * Handles a call that another instance handed over, as that one decided: an older configuration
- * here changes neither its service nor what may be repeated.
+ * here changes neither its service nor what may be repeated. Its sender cannot reach the service,
+ * and is not asked to take such calls.
  */
 internal fun CallsState.arriveHandedOver(
     request: CallRequest,
     handover: HandedOverCall,
     now: Instant
+): CallsDecision = copy(handover = this.handover.rejected(handover.from, handover.service, now))
+    .decideHandedOver(request, handover, now)
+
+private fun CallsState.decideHandedOver(
+    request: CallRequest,
+    handover: HandedOverCall,
+    now: Instant
 ): CallsDecision {
     val service = configuration.entitlements.services[handover.service]
     val refusal = when {
--- a/core/src/main/kotlin/org/wisteriahinge/core/handover/PeerChoice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/handover/PeerChoice.kt
@@ -8,12 +8,15 @@
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 
-/** Instances compared for a call; bounds the cost of a choice in large deployments. */
+/** Instances compared for a call, besides proven ones; bounds the cost of a choice. */
 private const val MAX_COMPARED = 24
 
 /** Calls in flight at an instance of this zone that outweigh the traffic to another zone. */
 private const val OTHER_ZONE_COST = 3
 
+/** The same for an instance that was not asked yet: it may have lost its targets too. */
+private const val UNKNOWN_COST = 4
+
 /** The same for an instance that took no call lately, which is asked when others are busy. */
 private const val REJECTION_COST = 16
 
@@ -31,14 +34,20 @@
     val random = SplittableRandom(routing.seed xor (call.request.callId.value + lastAttemptId))
     val first = random.nextInt(candidates.size)
     val inFlight = routing.attempts.values.groupingBy { it.target }.eachCount()
-    return (candidates.drop(first) + candidates.take(first)).take(MAX_COMPARED).minByOrNull {
+    val proven = candidates.filter { PeerService(it.id, service) in handover.proven }
+    val others = (candidates.drop(first) + candidates.take(first)).take(MAX_COMPARED)
+    return (proven + others).minByOrNull {
         (inFlight[it.id.asTarget()] ?: 0) + cost(it, service)
     }
 }
 
 private fun CallsState.cost(peer: PeerInstance, service: ServiceId): Int {
     val away = if (peer.zone == routing.zone) 0 else OTHER_ZONE_COST
-    return away + if (handover.hasRejected(peer.id, service)) REJECTION_COST else 0
+    return away + when (handover.standingOf(peer.id, service)) {
+        PeerStanding.Proven -> 0
+        PeerStanding.Unknown -> UNKNOWN_COST
+        PeerStanding.Rejected -> REJECTION_COST
+    }
 }
 
 /** The name under which attempts through this instance are counted; no target has it. */
--- a/core/src/test/kotlin/org/wisteriahinge/core/handover/CallHandoverTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/handover/CallHandoverTest.kt
@@ -126,6 +126,29 @@
         expectThat(harness.send(2).peer).isEqualTo(NEAR.id)
     }
 
+    @Test
+    fun `the instance that took the last call is asked first, even in another zone`() {
+        val first = harness.failAll(1, harness.send(1), 3)
+        val second = harness.fail(1, first, AttemptFailure.HandoverDeclined).forwarded.single()
+        harness.answer(1, second).complete(1, second)
+        harness.now += Duration.ofSeconds(1)
+        expectThat(harness.send(2).peer).isEqualTo(FAR.id)
+    }
+
+    @Test
+    fun `an instance that hands calls over itself is not asked`() {
+        val call = HandedOverCall(
+            NEAR.id,
+            OpenRoutesFixture.service,
+            OperationId("read"),
+            Repeatability.Repeatable,
+            CallBounds.None,
+            callerAddress = null
+        )
+        harness.arriveOpen(harness.request(1).copy(handover = call))
+        expectThat(harness.failAll(2, harness.send(2), 3).peer).isEqualTo(FAR.id)
+    }
+
     @Test
     fun `a call that may not be repeated is not sent again after its instance broke off`() {
         val handedOver = harness.failAll(1, harness.send(1, WRITE), 3)
