Probe no target that wants a pause for a lost service, and leave room in heads of handed-over calls

Read in the diff: the probes that test a lost service, and the witnesses of a crash check, ignored the pause that a target had asked for; and a request whose head is nearly as long as the operator allows was rejected by the instance that it is handed over to, because the sender adds a field. CallHandoverTest and StrandedInstanceTest cover both; the second case was not run without the change.

--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -45,6 +45,12 @@
 private val peerConnectionLimits =
     ConnectionLimits(perTarget = 64, connectTimeout = Duration.ofMillis(150))
 
+/** Room in the head of a request for what the sender of a handed-over call decided on it. */
+private const val HANDOVER_HEAD_BYTES = 4 * 1_024
+
+private fun RequestLimits.forHandedOverCalls(): RequestLimits =
+    copy(maxHeadBytes = maxHeadBytes + HANDOVER_HEAD_BYTES)
+
 /**
  * The server for callers, the connections to targets and the probe format of a [CallPipeline].
  *
@@ -107,6 +113,7 @@
         val peerSettings = settings.server.copy(
             host = endpoint.address.host,
             port = endpoint.address.port,
+            bounds = settings.server.bounds.forHandedOverCalls(),
             source = CallSource.Instances(endpoint.token)
         )
         CallerServer(peerSettings, dependencies(clock, socket = null))
@@ -146,7 +153,7 @@
 
     fun applyBounds(bounds: RequestLimits) {
         server.limit(bounds)
-        peerServer?.limit(bounds)
+        peerServer?.limit(bounds.forHandedOverCalls())
     }
 
     fun closeIdleConnections() {
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/StrandedInstanceTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/StrandedInstanceTest.kt
@@ -18,6 +18,10 @@
 
 private const val TARGETS = 6
 private const val SENDS = 30
+
+/** With the other fields, a head of nearly the limit. */
+private const val LONG_FIELD = 1_850
+private const val HEAD_LIMIT = "2048"
 private const val INSTANCES_TOPIC = "keyed.instances"
 private val CALLS_IN_PROGRESS = Regex(""""calls_in_progress":(\d+)""")
 
@@ -72,6 +76,25 @@
         }
     }
 
+    @Test
+    fun `a request whose head is as long as the limit allows is handed over`() {
+        TwoInstances().use { pair ->
+            pair.limitHeads()
+            pair.cutFirst(LinkMode.Refusing)
+            await("answer through the other instance") { pair.sendToFirst("/y/1", "a") == 200 }
+            val address = pair.firstFront.callers
+            val answer = Socket(address.host, address.port).use { socket ->
+                socket.soTimeout = 10_000
+                val request = "GET /y/long HTTP/1.1\r\nHost: 127.0.0.1\r\n" +
+                    "Wisteriahinge-Request-Id: long\r\nWisteriahinge-Deadline-Ms: 2000\r\n" +
+                    "X-Long: ${"x".repeat(LONG_FIELD)}\r\n\r\n"
+                socket.getOutputStream().write(request.encodeToByteArray())
+                socket.getInputStream().bufferedReader().readLine()
+            }
+            expectThat(answer).contains("200")
+        }
+    }
+
     @Test
     fun `an instance takes no calls from strangers`() {
         TwoInstances().use { pair ->
@@ -160,6 +183,15 @@
 
     fun cutFirst(mode: LinkMode) = first.links.forEach { it.setMode(mode) }
 
+    /** Lowers the limit on heads by a configuration whose routes begin with `/y/`. */
+    fun limitHeads() {
+        val limited = configuration(version = 4, prefix = "/y/").replace("16384", HEAD_LIMIT)
+        listOf(first to firstFront, second to secondFront).forEach { (deployment, front) ->
+            deployment.store.put("keyed.op", "config", limited)
+            await("configuration") { deployment.send(front.callers, "/y/1").statusCode() == 200 }
+        }
+    }
+
     fun sendToFirst(path: String, id: String): Int {
         val body = if (path.startsWith("/w/")) "body" else null
         return first.send(firstFront.callers, path, body, id).statusCode()
--- a/core/src/main/kotlin/org/wisteriahinge/core/handover/PathObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/handover/PathObservation.kt
@@ -123,6 +123,7 @@
 private fun CallsState.probeForTrial(service: ServiceId, now: Instant): CallsDecision {
     val listed = routing.byService[service].orEmpty().mapNotNull { routing.targets[it] }
         .filter { it.health.state != AvailabilityState.Draining }
+        .filterNot { routing.rateLimits.isPaused(it.target.id, now) }
     if (listed.isEmpty()) return CallsDecision(this)
     val first = SplittableRandom(routing.seed xor now.toEpochMilli()).nextInt(listed.size)
     return (listed.drop(first) + listed.take(first)).take(TRIAL_PROBES)
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
@@ -49,23 +49,26 @@
         copy(quarantine = quarantine.copy(unverified = quarantine.unverified.put(target.id, all)))
     )
     return if (waiting.isEmpty()) {
-        next.emit(CallEffect.CheckServer(target, path, witnesses(crash.service, target)))
+        next.emit(CallEffect.CheckServer(target, path, witnesses(crash.service, target, now)))
     } else {
         next
     }
 }
 
 /** Other targets, of [service] if it has any, whose answers show that the network works. */
-private fun CallsState.witnesses(service: ServiceId, target: Target): PersistentList<Witness> =
-    routing.targets.values
-        .filter { it.target.id != target.id }
-        .sortedWith(compareBy({ it.service != service }, { it.health.failures }))
-        .take(MAX_WITNESSES)
-        .mapNotNull { view ->
-            val path = configuration.entitlements.services[view.service]?.probePath
-            path?.let { Witness(view.target, it) }
-        }
-        .toPersistentList()
+private fun CallsState.witnesses(
+    service: ServiceId,
+    target: Target,
+    now: Instant
+): PersistentList<Witness> = routing.targets.values
+    .filter { it.target.id != target.id && !routing.rateLimits.isPaused(it.target.id, now) }
+    .sortedWith(compareBy({ it.service != service }, { it.health.failures }))
+    .take(MAX_WITNESSES)
+    .mapNotNull { view ->
+        val path = configuration.entitlements.services[view.service]?.probePath
+        path?.let { Witness(view.target, it) }
+    }
+    .toPersistentList()
 
 /** Without what waits for a check on account of [call], which was answered meanwhile. */
 internal fun QuarantineState.withoutUnverified(call: CallInProgress): QuarantineState {
--- a/core/src/main/kotlin/org/wisteriahinge/core/ratelimit/RateLimits.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/ratelimit/RateLimits.kt
@@ -46,7 +46,8 @@
         return copy(pausedUntil = pausedUntil.put(target, maxOf(known, until)))
     }
 
-    private fun isPaused(target: TargetId, now: Instant): Boolean =
+    /** Whether [target] wants no requests and no probes at [now]. */
+    internal fun isPaused(target: TargetId, now: Instant): Boolean =
         pausedUntil[target]?.let { it > now } == true
 
     /**
--- a/core/src/test/kotlin/org/wisteriahinge/core/handover/CallHandoverTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/handover/CallHandoverTest.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.handover
 
 import java.time.Duration
+import java.time.Instant
 import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Test
 import org.wisteriahinge.core.call.Attempt
@@ -9,6 +10,7 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallRequest
 import org.wisteriahinge.core.call.CallsHarness
+import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.OpenRoutesFixture
 import org.wisteriahinge.core.call.OpenRoutesFixture.arriveOpen
 import org.wisteriahinge.core.model.Address
@@ -213,6 +215,24 @@
         expectThat(next.effects.filterIsInstance<CallEffect.Probe>()).hasSize(3)
     }
 
+    @Test
+    fun `targets that want a pause are not probed while their service is lost`() {
+        val paused = listOf("t1", "t2", "t3").map(::TargetId)
+        val limits = paused.fold(harness.state.routing.rateLimits) { all, id ->
+            all.paused(id, harness.now + Duration.ofSeconds(9))
+        }
+        harness.state =
+            harness.state.copy(routing = harness.state.routing.copy(rateLimits = limits))
+        paused.forEach { harness.state = harness.state.lost(it, harness.now) }
+        harness.now += Duration.ofMillis(300)
+        val probes = harness.arriveOpen(harness.request(2)).effects
+            .filterIsInstance<CallEffect.Probe>()
+        expectThat(probes).single().get { target.id }.isEqualTo(TargetId("t4"))
+    }
+
+    private fun CallsState.lost(target: TargetId, now: Instant): CallsState =
+        targetUnanswered(target, Unanswered.Conclusively, now).state
+
     @Test
     fun `silence counts only after an answer since the start, and only after a while`() {
         val targets = listOf("t1", "t2", "t3").map(::TargetId)
