Cut the links of single instances in the soak

Each instance of the soak has links of its own to the targets: the store shows it their addresses. A fault cuts all links of one instance for 5 s or more, in plans without relays, and the oracle applies the users' bound to its callers.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
@@ -50,7 +50,9 @@
     private val logs: File,
     private val plan: PersistentList<PlannedFault> = soakPlan(seed, size)
 ) {
-    fun run(): SoakReport = SoakDeployment(size, logs).use { deployment ->
+    private val strands = plan.any { it.fault is SoakFault.Stranded }
+
+    fun run(): SoakReport = SoakDeployment(size, logs, relays = !strands).use { deployment ->
         val recorder = SoakRecorder()
         deployment.targets.forEach { it.behave(TargetBehaviour(NORMAL_SERVICE_TIME)) }
         awaitReady(deployment)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
@@ -10,10 +10,12 @@
 import kotlin.concurrent.thread
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.bench.standin.StandInPlatformTarget
 import org.wisteriahinge.bench.standin.StandInStore
 import org.wisteriahinge.bench.standin.StoreCopy
+import org.wisteriahinge.bench.standin.StoreView
 import org.wisteriahinge.core.model.Address
 
 private const val SERVICE = "s-1"
@@ -22,13 +24,21 @@
 private const val TARGET_RESTART_MILLIS = 700L
 private const val LOCALHOST = "127.0.0.1"
 
-/** A store, targets, and instances as processes, with a fault-injecting proxy on each link. */
-internal class SoakDeployment(size: SoakSize, logs: File) : Closeable {
+/**
+ * A store, targets, and instances as processes, with a fault-injecting proxy on each link.
+ *
+ * Without [relays], each instance reads the store itself and so uses its own links to the targets;
+ * otherwise instances use the links of the relay that they follow.
+ */
+internal class SoakDeployment(size: SoakSize, logs: File, relays: Boolean = true) : Closeable {
     val store = StandInStore()
     val targets: PersistentList<StandInPlatformTarget> =
         List(size.targets) { StandInPlatformTarget("i-$it") }.toPersistentList()
-    val targetLinks: PersistentList<LoopbackProxy>
+
+    /** The links of each instance to all targets. */
+    val targetLinks: PersistentList<PersistentList<LoopbackProxy>>
     val storeLinks: PersistentList<LoopbackProxy>
+    private val targetPorts: List<Int>
     val instances: PersistentList<SoakInstance>
 
     /** One lock for each instance, held while the instance is started, stopped or signalled. */
@@ -40,26 +50,46 @@
     private val states = AtomicReference(persistentHashMapOf<Int, String>())
 
     init {
-        val storePort = store.start()
-        targetLinks = targets.map { LoopbackProxy(it.start()) }.toPersistentList()
-        storeLinks = List(size.instances) { LoopbackProxy(storePort) }.toPersistentList()
-        (targetLinks + storeLinks).forEach { it.start() }
-        targets.indices.forEach { targets[it].onCrash = { endTarget(targetLinks[it]) } }
+        targetPorts = targets.map { it.start() }
+        targetLinks = List(size.instances) {
+            targetPorts.map { LoopbackProxy(it) }.toPersistentList()
+        }.toPersistentList()
+        storeLinks = targetLinks.map { LoopbackProxy(store.start(viewThrough(it))) }
+            .toPersistentList()
+        (targetLinks.flatten() + storeLinks).forEach { it.start() }
+        targets.indices.forEach { index -> targets[index].onCrash = { endTarget(index) } }
         configure()
         publishEntries()
-        val relays = List(minOf(RELAYS, size.instances)) { freeAddress() }.toPersistentList()
+        val relayAddresses = if (relays) {
+            List(minOf(RELAYS, size.instances)) { freeAddress() }.toPersistentList()
+        } else {
+            persistentListOf()
+        }
         instances = List(size.instances) { index ->
             val addresses = SoakAddresses(
                 callers = freeAddress(),
                 ready = freeAddress(),
-                relay = relays.getOrNull(index) ?: freeAddress(),
+                relay = relayAddresses.getOrNull(index) ?: freeAddress(),
+                handover = freeAddress(),
                 store = Address(LOCALHOST, storeLinks[index].listenPort),
-                relays = relays
+                relays = relayAddresses
             )
             SoakInstance("soak-$index", addresses, File(logs, "instance-$index.log"))
         }.toPersistentList()
     }
 
+    /** The links of all instances to one target. */
+    fun linksTo(target: Int): List<LoopbackProxy> = targetLinks.map { it[target] }
+
+    /** Shows the addresses of [links] in place of those of the targets. */
+    private fun viewThrough(links: List<LoopbackProxy>) = StoreView { topic, value ->
+        if (topic != "keyed.servers") return@StoreView value
+        val text = value.decodeToString()
+        targetPorts.zip(links).fold(text) { all, (port, link) ->
+            all.replace("\"$LOCALHOST:$port\"", "\"$LOCALHOST:${link.listenPort}\"")
+        }.encodeToByteArray()
+    }
+
     /** Writes the next configuration to the store and returns its version. */
     fun configure(): Int {
         val next = version.get() + 1
@@ -81,17 +111,17 @@
     /** Writes the entry of a target with [state] to the store. */
     fun announce(target: Int, state: String) {
         states.updateAndGet { it.put(target, state) }
-        val port = targetLinks[target].listenPort
+        val port = targetPorts[target]
         val entry = targets[target].entry(SERVICE, ZONE, port, state, entries.incrementAndGet())
         store.put("keyed.servers", targets[target].id, entry)
     }
 
     /** Ends the connections of a target and refuses new ones, as while its process restarts. */
-    private fun endTarget(link: LoopbackProxy) {
-        link.setMode(LinkMode.Refusing)
+    private fun endTarget(target: Int) {
+        linksTo(target).forEach { it.setMode(LinkMode.Refusing) }
         thread(isDaemon = true) {
             Thread.sleep(TARGET_RESTART_MILLIS)
-            link.setMode(LinkMode.Open)
+            linksTo(target).forEach { it.setMode(LinkMode.Open) }
         }
     }
 
@@ -107,7 +137,7 @@
 
     override fun close() {
         instances.forEach { it.kill() }
-        (targetLinks + storeLinks).forEach { it.close() }
+        (targetLinks.flatten() + storeLinks).forEach { it.close() }
         targets.forEach { it.close() }
         store.close()
     }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
@@ -19,6 +19,9 @@
     /** The connections to a target behave as [link] for [length]. */
     data class TargetLink(val target: Int, val link: LinkMode, val length: Duration) : SoakFault
 
+    /** The connections of an instance to all targets behave as [link] for [length]. */
+    data class Stranded(val instance: Int, val link: LinkMode, val length: Duration) : SoakFault
+
     /** The connections of an instance to the store behave as [link] for [length]. */
     data class StoreLink(val instance: Int, val link: LinkMode, val length: Duration) : SoakFault
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
@@ -37,10 +37,13 @@
                 if (instance.isListening()) recorded(fault) { instance.signal("HUP") }
             }
             is SoakFault.TargetLink -> recorded(fault) {
-                disturb(deployment.targetLinks[fault.target], fault.link, fault.length)
+                disturb(deployment.linksTo(fault.target), fault.link, fault.length)
+            }
+            is SoakFault.Stranded -> recorded(fault) {
+                disturb(deployment.targetLinks[fault.instance], fault.link, fault.length)
             }
             is SoakFault.StoreLink -> recorded(fault) {
-                disturb(deployment.storeLinks[fault.instance], fault.link, fault.length)
+                disturb(listOf(deployment.storeLinks[fault.instance]), fault.link, fault.length)
             }
             is SoakFault.StoreDown -> recorded(fault) {
                 deployment.store.behave(StoreBehaviour.Down)
@@ -106,10 +109,10 @@
         deployment.instances[index].signal("CONT")
     }
 
-    private fun disturb(proxy: LoopbackProxy, link: LinkMode, length: Duration) {
-        proxy.setMode(link)
+    private fun disturb(proxies: List<LoopbackProxy>, link: LinkMode, length: Duration) {
+        proxies.forEach { it.setMode(link) }
         sleep(length)
-        proxy.setMode(LinkMode.Open)
+        proxies.forEach { it.setMode(LinkMode.Open) }
     }
 
     private fun recorded(fault: SoakFault, block: () -> Unit) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
@@ -17,6 +17,7 @@
     val callers: Address,
     val ready: Address,
     val relay: Address,
+    val handover: Address,
     val store: Address,
     val relays: PersistentList<Address>
 )
@@ -48,6 +49,7 @@
             "--caller-address" to addresses.callers.toString(),
             "--ready-address" to addresses.ready.toString(),
             "--relay-address" to addresses.relay.toString(),
+            "--handover-address" to addresses.handover.toString(),
             "--store-address" to addresses.store.toString(),
             "--relays" to addresses.relays.joinToString(","),
             "--grace-time-s" to GRACE_SECONDS.toString()
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
@@ -25,6 +25,12 @@
 private const val COUNTED_CRASHES = 3
 private const val MAX_LATE_CRASHES = 3
 
+/** Time after the links of an instance broke from which its callers must be served. */
+private val STRANDED_REACTION: Duration = Duration.ofSeconds(3)
+private const val STRANDED_SERVED_RATIO = 2.0 / 3
+private const val STRANDED_EXTRA = 10
+private const val STRANDED_FAILED_PART = 50
+
 private val BUDGET_WINDOW: Duration = Duration.ofSeconds(10)
 private const val BUDGET_RATIO = 0.2
 
@@ -50,7 +56,8 @@
         overLimit(),
         crashingRequestsSentOn(),
         requestsCutByStops(),
-        failedStops()
+        failedStops(),
+        strandedCallersUnserved()
     ).flatten().sortedBy { it.at }.toPersistentList()
 
     private fun writes() = history.requests.filter { it.work == SoakWork.Write }
@@ -200,6 +207,42 @@
         }.map { SoakViolation("stops cut nothing off", it.sentAt, "$it, $stop") }
     }
 
+    /** Callers of instances without links are served two thirds as often as those of others. */
+    private fun strandedCallersUnserved(): List<SoakViolation> {
+        val strandings = events<SoakFault.Stranded>()
+        val sent = history.requests.filter { request ->
+            (request.work == SoakWork.Read || request.work == SoakWork.Write) &&
+                strandings.any { (event, _) ->
+                    request.sentAt > event.from + STRANDED_REACTION && request.endedAt < event.until
+                } && isOtherwiseCalm(request)
+        }
+        val (stranded, others) = sent.partition { request ->
+            strandings.any { (event, fault) ->
+                fault.instance == request.instance &&
+                    event.overlaps(request.sentAt, request.endedAt)
+            }
+        }
+        val failed = stranded.count { it.status() != 200 }
+        val isServed = stranded.servedRatio() >= others.servedRatio() * STRANDED_SERVED_RATIO
+        if (others.isEmpty() || isServed ||
+            failed <= STRANDED_EXTRA + sent.size / STRANDED_FAILED_PART
+        ) {
+            return emptyList()
+        }
+        val detail = "$failed of ${stranded.size} failed at instances without links, " +
+            "${others.count { it.status() != 200 }} of ${others.size} at others"
+        return listOf(SoakViolation("instances without links serve", sent.first().sentAt, detail))
+    }
+
+    private fun List<SoakRequest>.servedRatio(): Double =
+        if (isEmpty()) 1.0 else count { it.status() == 200 }.toDouble() / size
+
+    /** Whether nothing but links of instances was disturbed around [request]. */
+    private fun isOtherwiseCalm(request: SoakRequest): Boolean = history.events.none {
+        val disturbs = !it.isPlanned() && !it.isStranding()
+        disturbs && it.overlaps(request.sentAt - RECOVERY_TIME, request.endedAt)
+    }
+
     private fun failedStops(): List<SoakViolation> {
         val slow = stops().filter { it.stopped.exitCode != 0 && onlyPlanned(it.from, it.until) }
             .map { SoakViolation("stops end in time and well", it.from, "$it") }
@@ -243,6 +286,9 @@
 private fun SoakEvent.stopsInstance(): Boolean =
     startedInstance() != null || (this as? SoakEvent.FaultInjected)?.fault is SoakFault.Pause
 
+private fun SoakEvent.isStranding(): Boolean =
+    (this as? SoakEvent.FaultInjected)?.fault is SoakFault.Stranded
+
 /** Whether instances may get store records late. Any instance may be a relay for others. */
 private fun SoakEvent.delaysPropagation(): Boolean = when (this) {
     is SoakEvent.InstanceStopped, is SoakEvent.UnexpectedExit -> true
@@ -250,7 +296,8 @@
     is SoakEvent.FaultInjected -> when (fault) {
         is SoakFault.Restart, is SoakFault.Kill, is SoakFault.Pause, is SoakFault.StoreLink,
         is SoakFault.StoreDown -> true
-        is SoakFault.HangUp, is SoakFault.TargetLink, SoakFault.StoreCompaction,
+        is SoakFault.HangUp, is SoakFault.TargetLink, is SoakFault.Stranded,
+        SoakFault.StoreCompaction,
         is SoakFault.StoreRestore, is SoakFault.SlowTarget, is SoakFault.LimitedTarget,
         is SoakFault.Drain, is SoakFault.CrashingRequest, SoakFault.NewConfiguration -> false
     }
@@ -262,9 +309,9 @@
     is SoakEvent.FaultInjected -> when (fault) {
         is SoakFault.Restart, is SoakFault.HangUp, is SoakFault.Drain,
         SoakFault.NewConfiguration -> true
-        is SoakFault.Kill, is SoakFault.Pause, is SoakFault.TargetLink, is SoakFault.StoreLink,
-        is SoakFault.StoreDown, SoakFault.StoreCompaction, is SoakFault.StoreRestore,
-        is SoakFault.SlowTarget, is SoakFault.LimitedTarget,
+        is SoakFault.Kill, is SoakFault.Pause, is SoakFault.TargetLink, is SoakFault.Stranded,
+        is SoakFault.StoreLink, is SoakFault.StoreDown, SoakFault.StoreCompaction,
+        is SoakFault.StoreRestore, is SoakFault.SlowTarget, is SoakFault.LimitedTarget,
         is SoakFault.CrashingRequest -> false
     }
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
@@ -8,13 +8,16 @@
 /** Time without new faults at the start and at the end of a plan. */
 private val QUIET: Duration = Duration.ofSeconds(2)
 private const val LONGEST_GAP_MILLIS = 1_800L
-private const val KINDS = 14
+private const val KINDS = 15
 private const val SHORTEST_MILLIS = 300L
 private const val LONGEST_MILLIS = 3_500L
 
 /** Largest limit that a target names, in requests per second. */
 private const val LARGEST_LIMIT = 6.0
 
+/** Callers of an instance without links must be served from 3 s on. */
+private val STRANDED_LENGTH: Duration = Duration.ofSeconds(5)
+
 /** A limit must last for some time before it can be checked. */
 private val LIMIT_LENGTH: Duration = Duration.ofSeconds(7)
 
@@ -60,6 +63,7 @@
         SoakFault.Drain(target, length + Duration.ofSeconds(2)),
         SoakFault.NewConfiguration,
         SoakFault.StoreRestore(length),
+        SoakFault.Stranded(instance, link, length + STRANDED_LENGTH),
         SoakFault.CrashingRequest(random.nextInt(MAX_CRASHING_REQUESTS), length + CRASHING_LENGTH)
     )
     check(faults.size == KINDS) { "${faults.size} kinds of faults, not $KINDS" }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRegression.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRegression.kt
@@ -9,6 +9,10 @@
 private const val HANG_UP_GAP_MILLIS = 100L
 private val RESTART_AT: Duration = Duration.ofSeconds(2)
 
+/** Instances read the list of the others every 3 s. */
+private val STRANDED_AT: Duration = Duration.ofSeconds(4)
+private val STRANDED_LENGTH: Duration = Duration.ofSeconds(6)
+
 /** A [plan] of faults that once revealed a defect, described by [cause]. */
 internal data class SoakRegression(
     val cause: String,
@@ -22,6 +26,13 @@
         "a SIGHUP that came before its handler was set ended the process",
         SoakSize(instances = 2, targets = 4, length = Duration.ofSeconds(8)),
         (listOf(PlannedFault(RESTART_AT, SoakFault.Restart(0))) + hangUps()).toPersistentList()
+    ),
+    SoakRegression(
+        "callers of an instance without links to targets were not served",
+        SoakSize(instances = 2, targets = 4, length = Duration.ofSeconds(11)),
+        persistentListOf(
+            PlannedFault(STRANDED_AT, SoakFault.Stranded(0, LinkMode.Refusing, STRANDED_LENGTH))
+        )
     )
 )
 
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
@@ -4,6 +4,7 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.call
+import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.request.receive
@@ -21,6 +22,7 @@
 import java.nio.ByteBuffer
 import java.time.Duration
 import java.util.Base64
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -64,6 +66,11 @@
 /** The topics of a [StandInStore] at one moment. */
 public class StoreCopy internal constructor(internal val topics: PersistentMap<String, StoredTopic>)
 
+/** What the readers at one port of a [StandInStore] see in place of the value of a record. */
+public fun interface StoreView {
+    public fun valueOf(topic: String, value: ByteArray): ByteArray
+}
+
 /** How a [StandInStore] treats the calls it gets; set with [StandInStore.behave]. */
 public sealed interface StoreBehaviour {
     /** Every call is served at once. */
@@ -91,21 +98,26 @@
     private val behaviour = AtomicReference<StoreBehaviour>(StoreBehaviour.Up)
     private val calls = AtomicInteger()
     private val era = AtomicLong()
-    private val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
-        routing {
-            get("/api/log-newest") { withBehaviour(call) { newest(call) } }
-            get("/api/log-read") { withBehaviour(call) { read(call) } }
-            post("/api/log-append") { withBehaviour(call) { append(call) } }
-            post("/api/log-join") { withBehaviour(call) { join(call) } }
-            post("/api/log-leave") { withBehaviour(call) { leave(call) } }
-        }
-    }
+    private val servers = CopyOnWriteArrayList<EmbeddedServer<*, *>>()
 
     /** Number of calls received, refused ones included. */
     public val callCount: Int get() = calls.get()
 
-    /** Starts listening on a free loopback port and returns the port. */
-    public fun start(): Int {
+    /**
+     * Starts listening on a free loopback port, whose readers see values as [view] shows them, and
+     * returns the port.
+     */
+    public fun start(view: StoreView = StoreView { _, value -> value }): Int {
+        val server = embeddedServer(Netty, port = 0, host = "127.0.0.1") {
+            routing {
+                get("/api/log-newest") { withBehaviour(call) { newest(call, view) } }
+                get("/api/log-read") { withBehaviour(call) { read(call, view) } }
+                post("/api/log-append") { withBehaviour(call) { append(call) } }
+                post("/api/log-join") { withBehaviour(call) { join(call) } }
+                post("/api/log-leave") { withBehaviour(call) { leave(call) } }
+            }
+        }
+        servers.add(server)
         server.start(wait = false)
         return runBlocking { server.engine.resolvedConnectors().first().port }
     }
@@ -167,13 +179,17 @@
         }
     }
 
+    private fun topicName(call: ApplicationCall): String =
+        call.request.queryParameters["topic"].orEmpty()
+
     private fun topicOf(call: ApplicationCall): StoredTopic =
-        topics.get()[call.request.queryParameters["topic"].orEmpty()] ?: StoredTopic()
+        topics.get()[topicName(call)] ?: StoredTopic()
 
-    private suspend fun newest(call: ApplicationCall) {
+    private suspend fun newest(call: ApplicationCall, view: StoreView) {
         val topic = topicOf(call)
         val items = topic.newest.values.joinToString(",") {
-            val value = Base64.getEncoder().encodeToString(it.value)
+            val seen = view.valueOf(topicName(call), it.value)
+            val value = Base64.getEncoder().encodeToString(seen)
             """{"key":"${it.key}","value":"$value","offset":${it.offset}}"""
         }
         call.respondText(
@@ -184,7 +200,7 @@
 
     private fun isDown(): Boolean = behaviour.get() == StoreBehaviour.Down
 
-    private suspend fun read(call: ApplicationCall) {
+    private suspend fun read(call: ApplicationCall, view: StoreView) {
         val from = call.request.queryParameters["from"]?.toLong() ?: 0
         val waitMillis = call.request.queryParameters["waitMs"]?.toLong() ?: 0
         val until = System.nanoTime() + Duration.ofMillis(waitMillis).toNanos()
@@ -200,7 +216,7 @@
                 HttpStatusCode.Gone
             )
         }
-        call.respondBytes(encode(topic, from))
+        call.respondBytes(encode(topic, from) { view.valueOf(topicName(call), it) })
     }
 
     private suspend fun append(call: ApplicationCall) {
@@ -245,22 +261,23 @@
         call.respondText("{}", ContentType.Application.Json)
     }
 
-    private fun encode(topic: StoredTopic, from: Long): ByteArray {
+    private fun encode(topic: StoredTopic, from: Long, view: (ByteArray) -> ByteArray): ByteArray {
         val bytes = ByteArrayOutputStream()
         val out = DataOutputStream(bytes)
         out.writeLong(topic.end)
         out.writeLong(topic.first)
         topic.records.filter { it.offset >= from }.forEach { record ->
             val key = record.key.encodeToByteArray()
-            out.writeInt(1 + key.size + record.value.size)
+            val value = view(record.value)
+            out.writeInt(1 + key.size + value.size)
             out.writeByte(key.size)
             out.write(key)
-            out.write(record.value)
+            out.write(value)
         }
         return bytes.toByteArray()
     }
 
     override fun close() {
-        server.stop(gracePeriodMillis = 0, timeoutMillis = 500)
+        servers.forEach { it.stop(gracePeriodMillis = 0, timeoutMillis = 500) }
     }
 }
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/soak/SoakOracleTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/soak/SoakOracleTest.kt
@@ -100,6 +100,26 @@
         expectThat(promises(requests, arrivals, persistentListOf(drain, down))).isEmpty()
     }
 
+    @Test
+    fun `callers who are not served by an instance without links are found`() {
+        val fault = SoakFault.Stranded(0, LinkMode.Blackhole, at(10_000))
+        val events = persistentListOf<SoakEvent>(faultInjected(fault, 10_000, 20_000))
+        fun requests(instance: Int, status: Int) = (1..30).map {
+            request(
+                "i$instance-$it",
+                SoakWork.Read,
+                sentAt = 13_100L + it,
+                result = answered(status)
+            ).copy(instance = instance)
+        }
+        expectThat(promises(requests(0, 502) + requests(1, 200), events = events))
+            .containsExactly("instances without links serve")
+        expectThat(promises(requests(0, 200) + requests(1, 200), events = events)).isEmpty()
+        val down = faultInjected(SoakFault.StoreDown(at(3_000)), 12_000, 15_000)
+        val disturbed = events.add(down)
+        expectThat(promises(requests(0, 502) + requests(1, 200), events = disturbed)).isEmpty()
+    }
+
     private fun probe(version: Int, sentAt: Long, status: Int = 200) = request(
         "l-$version-$sentAt",
         SoakWork.ConfigurationProbe(version),
