--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
@@ -50,20 +50,21 @@
     private val logs: File,
     private val plan: PersistentList<PlannedFault> = soakPlan(seed, size)
 ) {
-    private val strands = plan.any { it.fault is SoakFault.Stranded }
-
-    fun run(): SoakReport = SoakDeployment(size, logs, relays = !strands).use { deployment ->
-        val recorder = SoakRecorder()
-        deployment.targets.forEach { it.behave(TargetBehaviour(NORMAL_SERVICE_TIME)) }
-        awaitReady(deployment)
-        recorder.start()
-        val traffic = SoakTraffic(deployment, recorder, seed).also { it.start() }
-        val calmFrom = play(plan, deployment, recorder, traffic)
-        traffic.stop()
-        Thread.sleep(STOP_TIMEOUT.toMillis())
-        recorder.stop(STOP_TIMEOUT)
-        report(deployment, recorder, plan.size, calmFrom)
-    }
+    private val cutsInstanceLinks = plan.any { it.fault is SoakFault.InstanceLinks }
+
+    fun run(): SoakReport =
+        SoakDeployment(size, logs, relays = !cutsInstanceLinks).use { deployment ->
+            val recorder = SoakRecorder()
+            deployment.targets.forEach { it.behave(TargetBehaviour(NORMAL_SERVICE_TIME)) }
+            awaitReady(deployment)
+            recorder.start()
+            val traffic = SoakTraffic(deployment, recorder, seed).also { it.start() }
+            val calmFrom = play(plan, deployment, recorder, traffic)
+            traffic.stop()
+            Thread.sleep(STOP_TIMEOUT.toMillis())
+            recorder.stop(STOP_TIMEOUT)
+            report(deployment, recorder, plan.size, calmFrom)
+        }
 
     private fun awaitReady(deployment: SoakDeployment) {
         val until = System.nanoTime() + START_LIMIT.toNanos()
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFault.kt
@@ -20,7 +20,8 @@
     data class TargetLink(val target: Int, val link: LinkMode, val length: Duration) : SoakFault
 
     /** The connections of an instance to all targets behave as [link] for [length]. */
-    data class Stranded(val instance: Int, val link: LinkMode, val length: Duration) : SoakFault
+    data class InstanceLinks(val instance: Int, val link: LinkMode, val length: Duration) :
+        SoakFault
 
     /** The connections of an instance to the store behave as [link] for [length]. */
     data class StoreLink(val instance: Int, val link: LinkMode, val length: Duration) : SoakFault
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakFaults.kt
@@ -39,7 +39,7 @@
             is SoakFault.TargetLink -> recorded(fault) {
                 disturb(deployment.linksTo(fault.target), fault.link, fault.length)
             }
-            is SoakFault.Stranded -> recorded(fault) {
+            is SoakFault.InstanceLinks -> recorded(fault) {
                 disturb(deployment.targetLinks[fault.instance], fault.link, fault.length)
             }
             is SoakFault.StoreLink -> recorded(fault) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
@@ -26,10 +26,10 @@
 private const val MAX_LATE_CRASHES = 3
 
 /** Time after the links of an instance broke from which its callers must be served. */
-private val STRANDED_REACTION: Duration = Duration.ofSeconds(3)
-private const val STRANDED_SERVED_RATIO = 2.0 / 3
-private const val STRANDED_EXTRA = 10
-private const val STRANDED_FAILED_PART = 50
+private val LINK_CUT_REACTION: Duration = Duration.ofSeconds(3)
+private const val MIN_SERVED_RATIO = 2.0 / 3
+private const val ALLOWED_FAILURES = 10
+private const val REQUESTS_PER_ALLOWED_FAILURE = 50
 
 private val BUDGET_WINDOW: Duration = Duration.ofSeconds(10)
 private const val BUDGET_RATIO = 0.2
@@ -57,7 +57,7 @@
         crashingRequestsSentOn(),
         requestsCutByStops(),
         failedStops(),
-        strandedCallersUnserved()
+        callersWithoutLinksUnserved()
     ).flatten().sortedBy { it.at }.toPersistentList()
 
     private fun writes() = history.requests.filter { it.work == SoakWork.Write }
@@ -208,28 +208,28 @@
     }
 
     /** Callers of instances without links are served two thirds as often as those of others. */
-    private fun strandedCallersUnserved(): List<SoakViolation> {
-        val strandings = events<SoakFault.Stranded>()
+    private fun callersWithoutLinksUnserved(): List<SoakViolation> {
+        val cuts = events<SoakFault.InstanceLinks>()
         val sent = history.requests.filter { request ->
             (request.work == SoakWork.Read || request.work == SoakWork.Write) &&
-                strandings.any { (event, _) ->
-                    request.sentAt > event.from + STRANDED_REACTION && request.endedAt < event.until
+                cuts.any { (event, _) ->
+                    request.sentAt > event.from + LINK_CUT_REACTION && request.endedAt < event.until
                 } && isOtherwiseCalm(request)
         }
-        val (stranded, others) = sent.partition { request ->
-            strandings.any { (event, fault) ->
+        val (cutOff, others) = sent.partition { request ->
+            cuts.any { (event, fault) ->
                 fault.instance == request.instance &&
                     event.overlaps(request.sentAt, request.endedAt)
             }
         }
-        val failed = stranded.count { it.status() != 200 }
-        val isServed = stranded.servedRatio() >= others.servedRatio() * STRANDED_SERVED_RATIO
+        val failed = cutOff.count { it.status() != 200 }
+        val isServed = cutOff.servedRatio() >= others.servedRatio() * MIN_SERVED_RATIO
         if (others.isEmpty() || isServed ||
-            failed <= STRANDED_EXTRA + sent.size / STRANDED_FAILED_PART
+            failed <= ALLOWED_FAILURES + sent.size / REQUESTS_PER_ALLOWED_FAILURE
         ) {
             return emptyList()
         }
-        val detail = "$failed of ${stranded.size} failed at instances without links, " +
+        val detail = "$failed of ${cutOff.size} failed at instances without links, " +
             "${others.count { it.status() != 200 }} of ${others.size} at others"
         return listOf(SoakViolation("instances without links serve", sent.first().sentAt, detail))
     }
@@ -239,7 +239,7 @@
 
     /** Whether nothing but links of instances was disturbed around [request]. */
     private fun isOtherwiseCalm(request: SoakRequest): Boolean = history.events.none {
-        val disturbs = !it.isPlanned() && !it.isStranding()
+        val disturbs = !it.isPlanned() && !it.cutsInstanceLinks()
         disturbs && it.overlaps(request.sentAt - RECOVERY_TIME, request.endedAt)
     }
 
@@ -286,8 +286,8 @@
 private fun SoakEvent.stopsInstance(): Boolean =
     startedInstance() != null || (this as? SoakEvent.FaultInjected)?.fault is SoakFault.Pause
 
-private fun SoakEvent.isStranding(): Boolean =
-    (this as? SoakEvent.FaultInjected)?.fault is SoakFault.Stranded
+private fun SoakEvent.cutsInstanceLinks(): Boolean =
+    (this as? SoakEvent.FaultInjected)?.fault is SoakFault.InstanceLinks
 
 /** Whether instances may get store records late. Any instance may be a relay for others. */
 private fun SoakEvent.delaysPropagation(): Boolean = when (this) {
@@ -296,7 +296,7 @@
     is SoakEvent.FaultInjected -> when (fault) {
         is SoakFault.Restart, is SoakFault.Kill, is SoakFault.Pause, is SoakFault.StoreLink,
         is SoakFault.StoreDown -> true
-        is SoakFault.HangUp, is SoakFault.TargetLink, is SoakFault.Stranded,
+        is SoakFault.HangUp, is SoakFault.TargetLink, is SoakFault.InstanceLinks,
         SoakFault.StoreCompaction,
         is SoakFault.StoreRestore, is SoakFault.SlowTarget, is SoakFault.LimitedTarget,
         is SoakFault.Drain, is SoakFault.CrashingRequest, SoakFault.NewConfiguration -> false
@@ -309,7 +309,7 @@
     is SoakEvent.FaultInjected -> when (fault) {
         is SoakFault.Restart, is SoakFault.HangUp, is SoakFault.Drain,
         SoakFault.NewConfiguration -> true
-        is SoakFault.Kill, is SoakFault.Pause, is SoakFault.TargetLink, is SoakFault.Stranded,
+        is SoakFault.Kill, is SoakFault.Pause, is SoakFault.TargetLink, is SoakFault.InstanceLinks,
         is SoakFault.StoreLink, is SoakFault.StoreDown, SoakFault.StoreCompaction,
         is SoakFault.StoreRestore, is SoakFault.SlowTarget, is SoakFault.LimitedTarget,
         is SoakFault.CrashingRequest -> false
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakPlan.kt
@@ -16,7 +16,7 @@
 private const val LARGEST_LIMIT = 6.0
 
 /** Callers of an instance without links must be served from 3 s on. */
-private val STRANDED_LENGTH: Duration = Duration.ofSeconds(5)
+private val LINK_CUT_LENGTH: Duration = Duration.ofSeconds(5)
 
 /** A limit must last for some time before it can be checked. */
 private val LIMIT_LENGTH: Duration = Duration.ofSeconds(7)
@@ -63,7 +63,7 @@
         SoakFault.Drain(target, length + Duration.ofSeconds(2)),
         SoakFault.NewConfiguration,
         SoakFault.StoreRestore(length),
-        SoakFault.Stranded(instance, link, length + STRANDED_LENGTH),
+        SoakFault.InstanceLinks(instance, link, length + LINK_CUT_LENGTH),
         SoakFault.CrashingRequest(random.nextInt(MAX_CRASHING_REQUESTS), length + CRASHING_LENGTH)
     )
     check(faults.size == KINDS) { "${faults.size} kinds of faults, not $KINDS" }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRegression.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRegression.kt
@@ -10,8 +10,8 @@
 private val RESTART_AT: Duration = Duration.ofSeconds(2)
 
 /** Instances read the list of the others every 3 s. */
-private val STRANDED_AT: Duration = Duration.ofSeconds(4)
-private val STRANDED_LENGTH: Duration = Duration.ofSeconds(6)
+private val LINKS_CUT_AT: Duration = Duration.ofSeconds(4)
+private val LINK_CUT_LENGTH: Duration = Duration.ofSeconds(6)
 
 /** A [plan] of faults that once revealed a defect, described by [cause]. */
 internal data class SoakRegression(
@@ -31,7 +31,10 @@
         "callers of an instance without links to targets were not served",
         SoakSize(instances = 2, targets = 4, length = Duration.ofSeconds(11)),
         persistentListOf(
-            PlannedFault(STRANDED_AT, SoakFault.Stranded(0, LinkMode.Refusing, STRANDED_LENGTH))
+            PlannedFault(
+                LINKS_CUT_AT,
+                SoakFault.InstanceLinks(0, LinkMode.Refusing, LINK_CUT_LENGTH)
+            )
         )
     )
 )
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/soak/SoakOracleTest.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/soak/SoakOracleTest.kt
@@ -102,7 +102,7 @@
 
     @Test
     fun `callers who are not served by an instance without links are found`() {
-        val fault = SoakFault.Stranded(0, LinkMode.Blackhole, at(10_000))
+        val fault = SoakFault.InstanceLinks(0, LinkMode.Blackhole, at(10_000))
         val events = persistentListOf<SoakEvent>(faultInjected(fault, 10_000, 20_000))
         fun requests(instance: Int, status: Int) = (1..30).map {
             request(
