Fail with exit code 1 and name all addresses when an instance cannot listen

What operators see: front whose address is in use says which addresses to change, without the one for other instances, and ends with exit code 0, as after a planned stop, so that a supervisor does not notice.

Cause: the shutdown hook, which waits for calls and ends the process with 0 after SIGTERM, also ran for the exit after the failure; the new address was missing in the message. Change: the hook is removed before the failure is reported, and the message names all addresses. AddressInUseTest: exit code 0 before, 1 since.

--- a/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/command/FrontCommand.kt
@@ -32,8 +32,9 @@
         } catch (e: InvalidChartException) {
             reportFailure(e.message ?: "a state chart is invalid; reinstall the binary")
         } catch (e: IOException) {
+            val addresses = listOfNotNull(settings.callers, settings.ready, settings.handover)
             reportFailure(
-                "cannot listen on ${settings.callers} or ${settings.ready} (${e.message}); " +
+                "cannot listen on ${addresses.joinToString(" or ")} (${e.message}); " +
                     "choose free addresses"
             )
         }
@@ -42,8 +43,15 @@
     private fun serve(settings: FrontSettings, socket: ListeningSocket): Int {
         ChartCatalog.loadForOpenRoutes()
         val instance = FrontInstance(settings, MonotonicClock(), socket)
-        Runtime.getRuntime().addShutdownHook(Thread({ stop(instance) }, "shutdown"))
-        instance.start()
+        val shutdown = Thread({ stop(instance) }, "shutdown")
+        Runtime.getRuntime().addShutdownHook(shutdown)
+        try {
+            instance.start()
+        } catch (e: IOException) {
+            // It would end the process as after a planned stop, with exit code 0.
+            Runtime.getRuntime().removeShutdownHook(shutdown)
+            throw e
+        }
         logger.info { "instance ${settings.name} serves callers on ${settings.callers}" }
         instance.awaitStopped()
         return ExitCode.DONE
