--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHandover.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHandover.kt
@@ -48,7 +48,13 @@
     return when (val choice = routing.choose(routeRequest(call, now), now)) {
         is TargetChoice.Chosen -> Destination.AtTarget(choice)
         is TargetChoice.RateLimited -> Destination.RateLimited(choice)
-        TargetChoice.NoTarget -> atInstance(call, HandoverCause.NoTargetLeft, now)
+        TargetChoice.NoTarget ->
+            if (routing.byService[call.matched.service.id].isNullOrEmpty()) {
+                // The list of targets is the same at every instance.
+                Destination.None
+            } else {
+                atInstance(call, HandoverCause.NoTargetLeft, now)
+            }
     }
 }
 
--- a/core/src/test/kotlin/org/wisteriahinge/core/handover/CallHandoverTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/handover/CallHandoverTest.kt
@@ -204,6 +204,14 @@
             .single().get { execution }.isEqualTo(Execution.NotRun)
     }
 
+    @Test
+    fun `a call of a service without listed targets goes to no other instance`() {
+        harness.handle(CallEvent.TargetsListed(OpenRoutesFixture.listing(0)))
+        val refused = harness.arriveOpen(harness.request(1))
+        expectThat(refused.forwarded).isEmpty()
+        expectThat(refused.refusals).single().get { reason }.isEqualTo(RefusalReason.NoTarget)
+    }
+
     @Test
     fun `without other instances a lost service refuses at once and is tried again`() {
         val alone = instance().handle(CallEvent.PeersListed(persistentListOf()))
