Give instances of the soak ports that nothing else takes, and say why they are not ready

SoakTest failed once because instances were not ready, and its logs were deleted. The error now holds the state of each instance and the end of its log, and their ports lie below those of outgoing connections.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/Soak.kt
@@ -70,7 +70,8 @@
         val until = System.nanoTime() + START_LIMIT.toNanos()
         while (!deployment.instances.all { it.isReady() }) {
             check(System.nanoTime() < until) {
-                "instances not ready within ${START_LIMIT.toSeconds()} s; see the logs in $logs"
+                "instances not ready within ${START_LIMIT.toSeconds()} s; logs in $logs; " +
+                    deployment.instances.joinToString("\n") { it.describe() }
             }
             Thread.sleep(POLL_MILLIS)
         }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
+import kotlin.random.Random
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
@@ -24,6 +25,11 @@
 private const val TARGET_RESTART_MILLIS = 700L
 private const val LOCALHOST = "127.0.0.1"
 
+/** Ports of instances; a random start keeps deployments apart that run at the same time. */
+private const val FIRST_PORT = 15_000
+private const val LAST_START = 30_000
+private val nextPort = AtomicInteger(Random.nextInt(FIRST_PORT, LAST_START))
+
 /**
  * A store, targets, and instances as processes, with a fault-injecting proxy on each link.
  *
@@ -143,4 +149,13 @@
     }
 }
 
-private fun freeAddress(): Address = Address(LOCALHOST, ServerSocket(0).use { it.localPort })
+/**
+ * Returns an address at which nothing listens, with a port that the kernel gives to no outgoing
+ * connection, so that it is still free when an instance starts.
+ */
+private fun freeAddress(): Address {
+    val port = generateSequence { nextPort.getAndIncrement() }.first(::isFree)
+    return Address(LOCALHOST, port)
+}
+
+private fun isFree(port: Int): Boolean = ignoringFailures { ServerSocket(port).close() } != null
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
@@ -11,6 +11,7 @@
 
 private const val MAIN_CLASS = "org.wisteriahinge.app.MainKt"
 private const val GRACE_SECONDS = 6L
+private const val LOG_LINES = 8
 
 /** The addresses at which an instance listens, and those of the store and the relays. */
 internal data class SoakAddresses(
@@ -39,6 +40,12 @@
 
     val callers: Address get() = addresses.callers
 
+    /** Whether the process runs, and the end of its log. */
+    fun describe(): String {
+        val state = if (isAlive) "runs" else "exited with ${process.exitValue()}"
+        return "$name $state:\n" + log.readLines().takeLast(LOG_LINES).joinToString("\n")
+    }
+
     private fun launch(): Process {
         val java = File(System.getProperty("java.home"), "bin/java").path
         val options = listOf("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/standin/StandInStore.kt
@@ -22,7 +22,6 @@
 import java.nio.ByteBuffer
 import java.time.Duration
 import java.util.Base64
-import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
@@ -98,7 +97,7 @@
     private val behaviour = AtomicReference<StoreBehaviour>(StoreBehaviour.Up)
     private val calls = AtomicInteger()
     private val era = AtomicLong()
-    private val servers = CopyOnWriteArrayList<EmbeddedServer<*, *>>()
+    private val servers = AtomicReference(persistentListOf<EmbeddedServer<*, *>>())
 
     /** Number of calls received, refused ones included. */
     public val callCount: Int get() = calls.get()
@@ -117,7 +116,7 @@
                 post("/api/log-leave") { withBehaviour(call) { leave(call) } }
             }
         }
-        servers.add(server)
+        servers.updateAndGet { it.add(server) }
         server.start(wait = false)
         return runBlocking { server.engine.resolvedConnectors().first().port }
     }
@@ -278,6 +277,6 @@
     }
 
     override fun close() {
-        servers.forEach { it.stop(gracePeriodMillis = 0, timeoutMillis = 500) }
+        servers.get().forEach { it.stop(gracePeriodMillis = 0, timeoutMillis = 500) }
     }
 }
