--- a/review/src/Http.java
+++ b/review/src/Http.java
@@ -61,6 +61,15 @@
 
     private static void connection(Socket socket, Handler handler) {
         try (socket) {
+            serveOn(socket, handler);
+        } catch (IOException e) {
+            // Closed already.
+        }
+    }
+
+    /** Serves one connection until it ends. */
+    static void serveOn(Socket socket, Handler handler) {
+        try {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = new BufferedOutputStream(socket.getOutputStream());
             while (true) {
