--- a/review/src/SeedFreeze.java
+++ b/review/src/SeedFreeze.java
@@ -29,7 +29,8 @@
 
         @Override boolean handle(Http.Request request, java.net.Socket socket, OutputStream out) throws Exception {
             long since = (System.nanoTime() - acked) / 1_000_000L;
-            if (acked != 0 && since > DRAIN_MS && !request.path().equals("/health")) {
+            // Health checks and requests that get 421 do not count.
+            if (acked != 0 && since > DRAIN_MS && id.equals(request.header("Wisteriahinge-Expect-Instance"))) {
                 late.incrementAndGet();
                 world.note("request " + request.header("Wisteriahinge-Request-Id") + " reaches " + id + " "
                     + since + " ms after the ack");
