--- a/review/src/SeedFreeze.java
+++ b/review/src/SeedFreeze.java
@@ -9,6 +9,8 @@
  */
 public final class SeedFreeze {
     private static final int ROUNDS = 11;
+    private static final int TARGETS = 18;
+    private static final int RELEASED = 8;
     private static final long DRAIN_MS = 2_000;
     private static final long FREEZE_MS = 4_000;
     private static final long STABILITY_MS = 3_000;
@@ -17,8 +19,8 @@
     private static final class Draining extends Target {
         volatile long acked;
 
-        Draining(World world, String id) throws IOException {
-            super(world, id, "s-1", 25);
+        Draining(World world, String id, String service) throws IOException {
+            super(world, id, service, 25);
         }
 
         void drain() {
@@ -48,18 +50,18 @@
         World world = new World(args[0]);
         try (world) {
             int next = 0;
-            Deque<Draining> active = new ArrayDeque<>();
-            for (; next < 6; next++) active.add(start(world, next));
+            List<Deque<Draining>> active = List.of(new ArrayDeque<>(), new ArrayDeque<>());
+            for (; next < 2 * TARGETS; next++) active.get(next % 2).add(start(world, next));
             world.heartbeats();
             List<String[]> routes = new ArrayList<>();
-            routes.add(new String[] {"r-0", "/r0/", "safe", "1000", "s-1"});
-            world.store.put("keyed.op", "config", World.config(3, routes, "s-1"));
+            for (int i = 0; i < 2; i++) routes.add(new String[] {"r-" + i, "/r" + i + "/", "safe", "1000", "s-" + i});
+            world.store.put("keyed.op", "config", World.config(3, routes, "s-0", "s-1"));
             int p = world.store.port;
             world.startFronts(p, p, p, p);
             Front reader = Collections.min(world.fronts.subList(0, 3), Comparator.comparing(Front::controlAddress));
             world.note("the seed with the first address is " + reader.name);
             for (Front front : world.fronts) {
-                if (front != reader) for (int i = 0; i < 5; i++) caller(world, front, i);
+                if (front != reader) for (int i = 0; i < 8; i++) caller(world, front, i);
             }
             World.pause(STABILITY_MS + 1_000);
             for (int round = 1; round <= ROUNDS; round++) {
@@ -67,12 +69,13 @@
                     reader.signal("STOP");
                     world.note(reader.name + " stands still");
                 }
-                long until = System.nanoTime() + FREEZE_MS * 1_000_000L;
-                while (System.nanoTime() < until) {
-                    Draining old = active.poll();
-                    active.add(start(world, next++));
+                // As a release with x = 2, gap_s = 1 and share = 0.45 of each service: 8 targets in 4 s.
+                for (int step = 0; step < 2 * RELEASED; step++) {
+                    Deque<Draining> service = active.get(next % 2);
+                    Draining old = service.poll();
+                    service.add(start(world, next++));
                     old.drain();
-                    World.pause(230);
+                    World.pause(FREEZE_MS / (2 * RELEASED));
                 }
                 if (world.trouble) {
                     reader.signal("CONT");
@@ -92,7 +95,7 @@
 
     /** Starts a target; it leaves some seconds after its drain. */
     private static Draining start(World world, int number) throws IOException {
-        Draining target = new Draining(world, "i-" + number);
+        Draining target = new Draining(world, "i-" + number, "s-" + number % 2);
         target.register();
         world.targets.add(target);
         Thread t = new Thread(() -> {
@@ -110,10 +113,10 @@
     private static void caller(World world, Front front, int number) {
         Thread t = new Thread(() -> {
             for (int n = 0; !stopped; n++) {
-                Http.Result r = Http.send(front.callers, "GET", "/r0/" + n, null, 3000, "Host", "app.example",
+                Http.Result r = Http.send(front.callers, "GET", "/r" + number % 2 + "/" + n, null, 3000, "Host", "app.example",
                     "Wisteriahinge-Request-Id", front.name + "-" + number + "-" + n, "Wisteriahinge-Deadline-Ms", "2000");
                 if (r.status == 200) served.incrementAndGet();
-                World.pause(30);
+                World.pause(20);
             }
         });
         t.setDaemon(true);
