--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
@@ -3,6 +3,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
 import java.io.Closeable
+import java.time.Clock
+import java.time.Duration
+import java.time.Instant
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 import kotlinx.collections.immutable.PersistentList
@@ -19,17 +22,23 @@
 /** Longest time that a request for changes may wait for records. */
 private const val MAX_WAIT_MILLIS = 10_000L
 
+/** Records that a [RelayServer] serves while they are not older than [maxAge]. */
+public class ServedTopic(public val maxAge: Duration, public val records: () -> MirroredRecords)
+
 /**
  * HTTP server from which other instances read the [topics] that this instance follows, so that not
  * every instance reads them from the platform.
  *
  * [topics] maps the name of each topic to its current records. A request for changes waits until
- * there are records to return or its time is up (long polling). All state is confined to [loop].
+ * the topic was read again, which makes the records younger, or its time is up (long polling). An
+ * answer tells how old the records are, and records that are too old are not served. All state is
+ * confined to [loop].
  */
 public class RelayServer(
     address: Address,
-    private val topics: PersistentMap<String, () -> MirroredRecords>,
-    private val loop: IoLoop
+    private val topics: PersistentMap<String, ServedTopic>,
+    private val loop: IoLoop,
+    private val clock: Clock
 ) : Closeable {
     private val server = InternalHttpServer(address, loop, ::serve)
     private var pendingReads: PersistentList<PendingRead> = persistentListOf()
@@ -42,12 +51,12 @@
     public fun start(): Int = server.start()
 
     /**
-     * Answers the pending requests for which there are new records. To be called after each change
-     * of the records; safe to call from any thread.
+     * Answers the pending requests for the topic [name]. To be called after each read of it; safe
+     * to call from any thread.
      */
-    public fun onRecordsRead() {
+    public fun onRead(name: String) {
         loop.run {
-            val ready = pendingReads.filter { it.isReady() }
+            val ready = pendingReads.filter { it.name == name }
             pendingReads = pendingReads.removeAll(ready)
             ready.forEach { it.answer() }
         }
@@ -55,52 +64,59 @@
 
     private fun serve(exchange: InternalExchange) {
         val query = QueryStringDecoder(exchange.uri)
-        topics.entries.forEach { (name, records) ->
+        val arrivedAt = clock.instant()
+        topics.entries.forEach { (name, topic) ->
             when (query.path()) {
-                newestPath(name) -> return answerNewest(exchange, records())
-                changesPath(name) -> return answerChanges(exchange, query, records)
+                newestPath(name) -> return answerNewest(exchange, topic, arrivedAt)
+                changesPath(name) -> {
+                    val from = query.position(topic) ?: return exchange.answerBadRequest()
+                    val wait = query.waitMillis() ?: return exchange.answerBadRequest()
+                    return awaitChanges(PendingRead(name, topic, exchange, from, arrivedAt), wait)
+                }
             }
         }
         exchange.answer(InternalAnswer(HttpResponseStatus.NOT_FOUND))
     }
 
-    private fun answerNewest(exchange: InternalExchange, records: MirroredRecords) {
-        val answer = if (records.isFollowing) {
-            val page = encodePage(records.newest, records.next)
-            InternalAnswer(HttpResponseStatus.OK, page)
+    private fun answerNewest(exchange: InternalExchange, topic: ServedTopic, arrivedAt: Instant) {
+        val records = topic.records()
+        val answer = if (records.isCurrent(clock.instant(), topic.maxAge)) {
+            val page = RelayedPage(records.newest, records.next, records.ageMillis(arrivedAt))
+            InternalAnswer(HttpResponseStatus.OK, encodePage(page))
         } else {
             InternalAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
         }
         exchange.answer(answer)
     }
 
-    private fun answerChanges(
-        exchange: InternalExchange,
-        query: QueryStringDecoder,
-        records: () -> MirroredRecords
-    ) {
-        val offset = query.nonNegativeLong("from")
-        val era = query.nonNegativeLong("era")
-        val waitMillis = query.nonNegativeLong("wait_ms")?.coerceAtMost(MAX_WAIT_MILLIS)
-        if (offset == null || waitMillis == null) {
-            return exchange.answer(InternalAnswer(HttpResponseStatus.BAD_REQUEST))
-        }
+    private fun awaitChanges(read: PendingRead, waitMillis: Long) {
+        if (read.isReady()) return read.answer()
+        pendingReads = pendingReads.add(read)
+        read.startTimeout(waitMillis)
+    }
+
+    private fun InternalExchange.answerBadRequest() =
+        answer(InternalAnswer(HttpResponseStatus.BAD_REQUEST))
+
+    private fun QueryStringDecoder.position(topic: ServedTopic): TopicPosition? {
         // Instances of versions before eras name none.
-        val from = TopicPosition(era ?: records().next.era, offset)
-        val pendingRead = PendingRead(exchange, records, from)
-        if (pendingRead.isReady()) return pendingRead.answer()
-        pendingReads = pendingReads.add(pendingRead)
-        pendingRead.startTimeout(waitMillis)
+        val era = nonNegativeLong("era") ?: topic.records().next.era
+        return nonNegativeLong("from")?.let { TopicPosition(era, it) }
     }
 
+    private fun QueryStringDecoder.waitMillis(): Long? =
+        nonNegativeLong("wait_ms")?.coerceAtMost(MAX_WAIT_MILLIS)
+
     private fun QueryStringDecoder.nonNegativeLong(name: String): Long? =
         parameters()[name]?.singleOrNull()?.toLongOrNull()?.takeIf { it >= 0 }
 
-    /** A request for changes that waits for records from [from] on. */
+    /** A request for changes of the topic [name] from [from] on, which [arrivedAt] this moment. */
     private inner class PendingRead(
+        val name: String,
+        private val topic: ServedTopic,
         private val exchange: InternalExchange,
-        private val records: () -> MirroredRecords,
-        private val from: TopicPosition
+        private val from: TopicPosition,
+        private val arrivedAt: Instant
     ) {
         private var timer: Future<*>? = null
 
@@ -113,23 +129,28 @@
             answer()
         }
 
-        fun isReady(): Boolean =
-            records().let { !it.isFollowing || it.since(from)?.isEmpty() != true }
+        fun isReady(): Boolean = topic.records().let {
+            !it.isCurrent(clock.instant(), topic.maxAge) || it.since(from)?.isEmpty() != true
+        }
 
         fun answer() {
             timer?.cancel(false)
-            val known = records()
+            exchange.answer(answerFrom(topic.records()))
+        }
+
+        private fun answerFrom(known: MirroredRecords): InternalAnswer {
             val since = known.since(from)
-            val answer = when {
-                !known.isFollowing -> InternalAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            return when {
+                !known.isCurrent(clock.instant(), topic.maxAge) ->
+                    InternalAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 since == null -> InternalAnswer(HttpResponseStatus.GONE)
-                // The reader may be ahead of this instance, if it read elsewhere before.
-                else -> InternalAnswer(
-                    HttpResponseStatus.OK,
-                    encodePage(since, maxOf(known.next, from))
-                )
+                else -> {
+                    // The reader may be ahead of this instance, if it read elsewhere before.
+                    val next = maxOf(known.next, from)
+                    val page = RelayedPage(since, next, known.ageMillis(arrivedAt))
+                    InternalAnswer(HttpResponseStatus.OK, encodePage(page))
+                }
             }
-            exchange.answer(answer)
         }
     }
 
@@ -137,3 +158,7 @@
         server.close()
     }
 }
+
+/** The age at [moment], rounded up so that records never seem more current than they are. */
+private fun MirroredRecords.ageMillis(moment: Instant): Long? =
+    currentAsOf?.let { Duration.between(it, moment).toMillis() + 1 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/CrashCounts.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CrashCounts.kt
@@ -15,20 +15,15 @@
 import org.wisteriahinge.core.crashreport.CrashCountKey
 import org.wisteriahinge.core.crashreport.CrashReportsEvent
 import org.wisteriahinge.core.model.InstanceId
-import org.wisteriahinge.core.watch.WatchTiming
 import org.wisteriahinge.core.watch.WatchUpdate
 import org.wisteriahinge.platform.PlatformTopics
 import org.wisteriahinge.platform.StoreTopicWriter
 import org.wisteriahinge.runtime.CrashReportsDuty
-import org.wisteriahinge.runtime.KeyedTopic
+import org.wisteriahinge.runtime.FollowedTopic
 import org.wisteriahinge.runtime.TopicWatchDuty
 
 private val logger = KotlinLogging.logger {}
 
-/** A dead connection is noticed when the wait is over; a count must be known within 3 s. */
-private val CRASHES_PACE =
-    WatchTiming(minPeriod = Duration.ofMillis(50), waitUpTo = Duration.ofSeconds(2))
-
 private const val HEXADECIMAL = 16
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
@@ -40,7 +35,7 @@
 internal class CrashCounts(
     settings: FrontSettings,
     storeClient: BackendClient,
-    topic: KeyedTopic,
+    topic: FollowedTopic,
     private val clock: Clock,
     private val pipeline: CallPipeline
 ) : Closeable {
@@ -50,10 +45,10 @@
         StoreTopicWriter(PlatformTopics.CRASHES, settings.platform.store, storeClient),
         clock
     ) { encodeCrashCount(it, clock.instant()) }
-    private val watch = TopicWatchDuty(
-        "crashes",
+
+    /** Follows the topic. */
+    val watch: TopicWatchDuty<*> = TopicWatchDuty(
         topic,
-        CRASHES_PACE,
         settings.seed + 2,
         clock,
         { decodeCrashCount(it, clock.instant()) },
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -6,11 +6,13 @@
 import java.io.IOException
 import java.time.Clock
 import java.time.Duration
+import kotlinx.collections.immutable.toPersistentMap
 import org.wisteriahinge.adapters.admin.AdminAddress
 import org.wisteriahinge.adapters.admin.AdminServer
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.ListeningSocket
+import org.wisteriahinge.adapters.metrics.TopicMetrics
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.group.GroupEvent
@@ -78,9 +80,20 @@
     private val admin = AdminServer(
         AdminAddress(settings.ready.host, settings.ready.port, READY_PATH),
         view,
-        { pipeline.metricsRegistry },
+        { metricsRegistry },
         pipeline.loop
     )
+    private val metricsRegistry: PrometheusRegistry by lazy {
+        pipeline.metricsRegistry.also { topicMetrics().register(it) }
+    }
+
+    private fun topicMetrics(): TopicMetrics {
+        val watches = topics.watches + listOfNotNull(crashCounts.watch, instances?.watch)
+        return TopicMetrics(
+            watches.associate { it.topicName to it::currentAsOf }.toPersistentMap(),
+            clock
+        )
+    }
 
     private fun rateLimitGroup(): GroupDuty {
         val platform = settings.platform
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
@@ -10,7 +10,8 @@
  * Settings of a [FrontInstance].
  *
  * The process ends within [gracePeriod] after SIGTERM. At [handover] it takes calls from instances
- * that cannot reach the targets; null if it neither takes nor hands over calls.
+ * that cannot reach the targets; null if it neither takes nor hands over calls. It knows what the
+ * store accepted within [bounds].
  */
 public class FrontSettings(
     public val name: String,
@@ -24,7 +25,8 @@
     public val maxTimeout: Duration,
     public val bodyMemoryBytes: Long,
     public val seed: Long,
-    public val handover: Address? = null
+    public val handover: Address? = null,
+    public val bounds: PropagationBounds = PropagationBounds()
 )
 
 internal const val DEFAULT_PARTITIONS_PER_TOPIC: Int = 12
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -4,12 +4,13 @@
 import java.io.Closeable
 import java.time.Clock
 import java.time.Duration
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.directory.DirectoryRecord
 import org.wisteriahinge.core.directory.DirectoryState
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.ListedTargets
-import org.wisteriahinge.core.watch.WatchTiming
 import org.wisteriahinge.core.watch.WatchUpdate
 import org.wisteriahinge.platform.DecodeException
 import org.wisteriahinge.platform.PlatformTopics
@@ -20,16 +21,6 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Targets write their entries every 1.5 s, and a drain must be known within 2 s. */
-private val TARGETS_PACE = WatchTiming(minPeriod = Duration.ofMillis(900), waitUpTo = Duration.ZERO)
-
-/**
- * Configuration changes are rare, so a read waits for the next one. A dead connection
- * is noticed only when the wait is over, which must be within 3 s.
- */
-private val CONFIGURATION_PACE =
-    WatchTiming(minPeriod = Duration.ofMillis(50), waitUpTo = Duration.ofSeconds(2))
-
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /** Reads the platform's topics and passes configurations and targets to [pipeline] and [view]. */
@@ -41,18 +32,14 @@
     private val view: FrontView
 ) : Closeable {
     private val configurationWatch = TopicWatchDuty(
-        "configuration",
         sources.configuration,
-        CONFIGURATION_PACE,
         seed,
         clock,
         ::decodeOperatorRecord,
         ::onConfigurationUpdate
     )
     private val targetsWatch = TopicWatchDuty(
-        "targets",
         sources.targets,
-        TARGETS_PACE,
         seed + 1,
         clock,
         ::decodeTarget,
@@ -63,6 +50,10 @@
     private var directory = DirectoryState()
     private var lastListing: ListedTargets? = null
 
+    /** The duties that follow topics here. */
+    val watches: PersistentList<TopicWatchDuty<*>> =
+        persistentListOf(configurationWatch, targetsWatch)
+
     fun start() {
         configurationWatch.start()
         targetsWatch.start()
--- a/app/src/main/kotlin/org/wisteriahinge/app/InstanceDirectory.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/InstanceDirectory.kt
@@ -18,20 +18,15 @@
 import org.wisteriahinge.core.handover.RecordTrigger
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.InstanceId
-import org.wisteriahinge.core.watch.WatchTiming
 import org.wisteriahinge.core.watch.WatchUpdate
 import org.wisteriahinge.platform.PlatformTopics
 import org.wisteriahinge.platform.StoreTopicWriter
+import org.wisteriahinge.runtime.FollowedTopic
 import org.wisteriahinge.runtime.InstanceRecordDuty
-import org.wisteriahinge.runtime.KeyedTopic
 import org.wisteriahinge.runtime.TopicWatchDuty
 
 private val logger = KotlinLogging.logger {}
 
-/** Instances start and stop rarely, and calls find out themselves which one does not answer. */
-private val INSTANCES_PACE =
-    WatchTiming(minPeriod = Duration.ofSeconds(3), waitUpTo = Duration.ZERO)
-
 private const val TOKEN_BYTES = 16
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
@@ -50,7 +45,7 @@
     settings: FrontSettings,
     endpoint: HandoverEndpoint,
     storeClient: BackendClient,
-    topic: KeyedTopic,
+    topic: FollowedTopic,
     clock: Clock,
     private val pipeline: CallPipeline
 ) : Closeable {
@@ -65,10 +60,10 @@
         StoreTopicWriter(PlatformTopics.INSTANCES, settings.platform.store, storeClient),
         clock
     )
-    private val watch = TopicWatchDuty(
-        "instances",
+
+    /** Follows the topic. */
+    val watch: TopicWatchDuty<*> = TopicWatchDuty(
         topic,
-        INSTANCES_PACE,
         settings.seed + 3,
         clock,
         ::decodeInstance,
--- a/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
@@ -10,32 +10,63 @@
 import org.wisteriahinge.adapters.backend.IoLoop
 import org.wisteriahinge.adapters.relay.RelayServer
 import org.wisteriahinge.adapters.relay.RelayTopic
+import org.wisteriahinge.adapters.relay.ServedTopic
 import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.watch.FreshnessBudget
+import org.wisteriahinge.core.watch.RELAY_PERIOD
+import org.wisteriahinge.core.watch.SourceChoice
+import org.wisteriahinge.core.watch.WatchTiming
 import org.wisteriahinge.platform.PlatformTopics
 import org.wisteriahinge.platform.StoreTopic
 import org.wisteriahinge.platform.decodeStableTarget
-import org.wisteriahinge.runtime.KeyedTopic
-import org.wisteriahinge.runtime.MirroredRecords
+import org.wisteriahinge.runtime.FollowedTopic
 import org.wisteriahinge.runtime.RecordFilter
-import org.wisteriahinge.runtime.RelayedTopic
 import org.wisteriahinge.runtime.TopicMirror
 
-/** Longest read from a relay; a relay that does not answer within it has failed. */
-private val RELAY_WAIT: Duration = Duration.ofMillis(900)
+/** Many instances write their records at the same time when the deployment starts. */
+private val INSTANCES_PERIOD: Duration = Duration.ofMillis(500)
 
-/** The same for a topic with few changes, which must be known within 3 s. */
-private val RARELY_CHANGED_WAIT: Duration = Duration.ofMillis(1_900)
+/** How the topic [storeName] of the store is followed; here it is called [name]. */
+private class TopicPlan(
+    val name: String,
+    val storeName: String,
+    val budget: FreshnessBudget,
+    val timing: WatchTiming
+)
+
+private class TopicPlans(bounds: PropagationBounds) {
+    val configuration = waiting("configuration", PlatformTopics.OPERATOR, bounds.configuration)
+    val targets = polling("targets", PlatformTopics.TARGETS, bounds.targets)
+    val crashes = waiting("crashes", PlatformTopics.CRASHES, bounds.crashes)
+    val instances =
+        waiting("instances", PlatformTopics.INSTANCES, bounds.instances, INSTANCES_PERIOD)
+
+    private fun waiting(
+        name: String,
+        storeName: String,
+        bound: Duration,
+        minPeriod: Duration = RELAY_PERIOD
+    ): TopicPlan {
+        val budget = FreshnessBudget(bound)
+        return TopicPlan(name, storeName, budget, WatchTiming.waiting(budget, minPeriod))
+    }
+
+    private fun polling(name: String, storeName: String, bound: Duration): TopicPlan {
+        val budget = FreshnessBudget(bound)
+        return TopicPlan(name, storeName, budget, WatchTiming.polling(budget))
+    }
+}
 
 /** The platform's topics, read from the store or from relays. */
 internal sealed interface PlatformSources : Closeable {
-    val configuration: KeyedTopic
-    val targets: KeyedTopic
+    val configuration: FollowedTopic
+    val targets: FollowedTopic
 
     /** The counts of crashes that instances write. */
-    val crashes: KeyedTopic
+    val crashes: FollowedTopic
 
     /** Where instances take calls from others. */
-    val instances: KeyedTopic
+    val instances: FollowedTopic
 
     /**
      * Starts serving the topics to other instances if this one is a relay.
@@ -48,7 +79,7 @@
      * A relay, which serves the topics that it reads at [ownAddress].
      *
      * The relay whose address sorts first reads the store. The others read that relay, or the store
-     * while it does not serve. No two relays thus read each other.
+     * while the records of that relay are too old. No two relays thus read each other.
      */
     class Relaying(
         ownAddress: Address,
@@ -57,39 +88,44 @@
         loop: IoLoop,
         clock: Clock
     ) : PlatformSources {
+        private val plans = TopicPlans(settings.bounds)
         private val firstRelay = settings.platform.relays.minBy { it.toString() }
-        private val upstream = TopicReader(
+        private val reader = TopicReader(
             listOf(firstRelay).filter { it != ownAddress }.toPersistentList(),
             first = 0,
             settings.platform.store,
             client,
             clock
         )
-        override val configuration: TopicMirror =
-            mirror(upstream.topic(PlatformTopics.OPERATOR), RecordFilter.EveryRecord)
-        override val targets: TopicMirror = mirror(
-            upstream.topic(PlatformTopics.TARGETS),
-            RecordFilter.ChangedRecords(::decodeStableTarget)
-        )
-        override val crashes: TopicMirror = mirror(
-            upstream.topic(PlatformTopics.CRASHES, RARELY_CHANGED_WAIT),
-            RecordFilter.EveryRecord
-        )
-        override val instances: TopicMirror =
-            mirror(upstream.topic(PlatformTopics.INSTANCES), RecordFilter.EveryRecord)
+        override val configuration = mirrored(plans.configuration)
+        override val targets =
+            mirrored(plans.targets, RecordFilter.ChangedRecords(::decodeStableTarget))
+        override val crashes = mirrored(plans.crashes)
+        override val instances = mirrored(plans.instances)
         private val server = RelayServer(
             ownAddress,
-            persistentHashMapOf<String, () -> MirroredRecords>(
-                PlatformTopics.OPERATOR to { configuration.records },
-                PlatformTopics.TARGETS to { targets.records },
-                PlatformTopics.CRASHES to { crashes.records },
-                PlatformTopics.INSTANCES to { instances.records }
+            persistentHashMapOf(
+                served(plans.configuration, configuration),
+                served(plans.targets, targets),
+                served(plans.crashes, crashes),
+                served(plans.instances, instances)
             ),
-            loop
+            loop,
+            clock
         )
 
-        private fun mirror(topic: KeyedTopic, meaning: RecordFilter): TopicMirror =
-            TopicMirror(topic, meaning) { server.onRecordsRead() }
+        private fun mirrored(
+            plan: TopicPlan,
+            filter: RecordFilter = RecordFilter.EveryRecord
+        ): FollowedTopic {
+            val mirror = TopicMirror(filter) { server.onRead(plan.storeName) }
+            return reader.topic(plan, plan.budget.relayTakeover, mirror)
+        }
+
+        private fun served(plan: TopicPlan, topic: FollowedTopic): Pair<String, ServedTopic> {
+            val mirror = checkNotNull(topic.mirror) { "the topic ${plan.name} is not mirrored" }
+            return plan.storeName to ServedTopic(plan.budget.latestTakeover) { mirror.records }
+        }
 
         override fun start() {
             server.start()
@@ -100,9 +136,10 @@
         }
     }
 
-    /** Reads the topics from one of the relays, or from the store while none of them serves. */
-    class Following(settings: FrontSettings, client: BackendClient, clock: Clock) :
+    /** Reads the topics from one of the relays, or from the store while their records are old. */
+    class Following(private val settings: FrontSettings, client: BackendClient, clock: Clock) :
         PlatformSources {
+        private val plans = TopicPlans(settings.bounds)
         private val reader = TopicReader(
             settings.platform.relays,
             first = Math.floorMod(
@@ -113,10 +150,13 @@
             client,
             clock
         )
-        override val configuration = reader.topic(PlatformTopics.OPERATOR)
-        override val targets = reader.topic(PlatformTopics.TARGETS)
-        override val crashes = reader.topic(PlatformTopics.CRASHES, RARELY_CHANGED_WAIT)
-        override val instances = reader.topic(PlatformTopics.INSTANCES, Duration.ZERO)
+        override val configuration = followed(plans.configuration)
+        override val targets = followed(plans.targets)
+        override val crashes = followed(plans.crashes)
+        override val instances = followed(plans.instances)
+
+        private fun followed(plan: TopicPlan) =
+            reader.topic(plan, plan.budget.followerTakeover(settings.seed))
 
         override fun start() = Unit
 
@@ -132,11 +172,13 @@
     private val client: BackendClient,
     private val clock: Clock
 ) {
-    fun topic(name: String, maxWait: Duration = RELAY_WAIT): KeyedTopic = RelayedTopic(
-        relays.map { RelayTopic(name, it, client) }.toPersistentList(),
-        StoreTopic(name, store, client),
-        first,
-        maxWait,
-        clock
-    )
+    fun topic(plan: TopicPlan, takeover: Duration, mirror: TopicMirror? = null): FollowedTopic =
+        FollowedTopic(
+            plan.name,
+            plan.timing,
+            StoreTopic(plan.storeName, store, client, clock),
+            relays.map { RelayTopic(plan.storeName, it, client, clock) }.toPersistentList(),
+            SourceChoice(relays.size, takeover, first),
+            mirror
+        )
 }
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.app.FrontSettings
 import org.wisteriahinge.app.PlatformEndpoints
+import org.wisteriahinge.app.PropagationBounds
 import org.wisteriahinge.app.RetryBudgetSettings
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Zone
@@ -30,7 +31,11 @@
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
     bodyMemoryBytes = long(Settings.bodyMemoryBytes),
     seed = seed,
-    handover = get(Settings.handoverAddress).takeIf { it.isNotEmpty() }?.let(::address)
+    handover = get(Settings.handoverAddress).takeIf { it.isNotEmpty() }?.let(::address),
+    bounds = PropagationBounds(
+        configuration = millis(Settings.configurationBoundMillis),
+        targets = millis(Settings.drainBoundMillis)
+    )
 )
 
 private fun address(text: String): Address =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -170,6 +170,18 @@
         "12",
         "Partitions of each topic of the platform's store"
     )
+    val configurationBoundMillis = SettingSpec(
+        "configuration-bound-ms",
+        SettingKind.Decimal("ms", 500.0, 60_000.0),
+        "2000",
+        "Time in which a configuration is in force everywhere after the store accepted it"
+    )
+    val drainBoundMillis = SettingSpec(
+        "drain-bound-ms",
+        SettingKind.Decimal("ms", 500.0, 60_000.0),
+        "2000",
+        "Time in which every instance knows that a target drains, after the store accepted it"
+    )
     val graceSeconds = SettingSpec(
         "grace-time-s",
         SettingKind.Decimal("s", 0.5, 3_600.0),
@@ -227,6 +239,8 @@
         relays,
         handoverAddress,
         storePartitions,
+        configurationBoundMillis,
+        drainBoundMillis,
         graceSeconds,
         retryRatio,
         retryWindowSeconds,
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingValues.kt
@@ -62,6 +62,8 @@
 
     fun int(spec: SettingSpec): Int = get(spec).toInt()
 
+    fun millis(spec: SettingSpec): Duration = Duration.ofMillis(get(spec).toDouble().toLong())
+
     fun seconds(spec: SettingSpec): Duration =
         Duration.ofMillis((get(spec).toDouble() * MILLIS_PER_SECOND).toLong())
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -10,6 +10,8 @@
 import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
 import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.demo.Demo
+import org.wisteriahinge.bench.freshness.FRESHNESS
+import org.wisteriahinge.bench.freshness.runFreshness
 import org.wisteriahinge.bench.fuzz.atMostOnce
 import org.wisteriahinge.bench.fuzz.fuzzCommand
 import org.wisteriahinge.bench.fuzz.limits
@@ -48,7 +50,7 @@
     val instances by parser.option(
         ArgType.Int,
         "instances",
-        description = "Instances in a soak, poison-front or stranded"
+        description = "Instances in a soak, poison-front, stranded or freshness"
     )
         .default(4)
     val share by parser.option(
@@ -82,6 +84,7 @@
         name == POISON_FRONT -> println(runPoisonFront(instances, seed.toLong()))
         name == STRANDED -> println(runStranded(instances, share, seed.toLong()))
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
+        name == FRESHNESS -> println(runFreshness(instances, seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
         else -> refuse(name)
@@ -101,6 +104,7 @@
             STRANDED,
             TARGET_LIMITS,
             CONFIG_SPREAD,
+            FRESHNESS,
             CAPACITY,
             START_COST
         )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakEventEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakEventEffects.kt
@@ -15,12 +15,16 @@
 internal fun SoakEvent.cutsInstanceLinks(): Boolean =
     (this as? SoakEvent.FaultInjected)?.fault is SoakFault.InstanceLinks
 
-/** Whether instances may get store records late. Any instance may be a relay for others. */
-internal fun SoakEvent.delaysPropagation(): Boolean = when (this) {
-    is SoakEvent.InstanceStopped, is SoakEvent.UnexpectedExit -> true
+/** Whether an instance, [instance] or any if null, may get records of the store late. */
+internal fun SoakEvent.delaysPropagation(instance: Int?): Boolean = when (this) {
+    is SoakEvent.InstanceStopped -> concerns(this.instance, instance)
+    is SoakEvent.UnexpectedExit -> concerns(this.instance, instance)
     is SoakEvent.ConfigurationPublished -> false
     is SoakEvent.FaultInjected -> when (fault) {
-        is SoakFault.Restart, is SoakFault.Kill, is SoakFault.Pause, is SoakFault.StoreLink,
+        is SoakFault.Restart -> concerns(fault.instance, instance)
+        is SoakFault.Kill -> concerns(fault.instance, instance)
+        is SoakFault.Pause -> concerns(fault.instance, instance)
+        is SoakFault.StoreLink -> concerns(fault.instance, instance)
         is SoakFault.StoreDown -> true
         is SoakFault.HangUp, is SoakFault.TargetLink, is SoakFault.InstanceLinks,
         SoakFault.StoreCompaction,
@@ -29,6 +33,10 @@
     }
 }
 
+/** What happens to a relay excuses the relay itself, and none of the instances that read it. */
+private fun concerns(disturbed: Int, instance: Int?): Boolean =
+    instance == null || instance == disturbed
+
 internal fun SoakEvent.isPlanned(): Boolean = when (this) {
     is SoakEvent.InstanceStopped, is SoakEvent.ConfigurationPublished -> true
     is SoakEvent.UnexpectedExit -> false
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakOracle.kt
@@ -6,7 +6,7 @@
 import kotlinx.collections.immutable.toPersistentList
 
 /** The platform's bound on the time in which a drain or a configuration takes effect. */
-private val PROPAGATION_BOUND: Duration = Duration.ofMillis(2_500)
+private val PROPAGATION_BOUND: Duration = Duration.ofSeconds(2)
 
 /** Time after a fault during which the checks that it may affect are not applied. */
 private val RECOVERY_TIME: Duration = Duration.ofSeconds(4)
@@ -92,14 +92,17 @@
             val dueAt = event.from + PROPAGATION_BOUND
             history.arrivals.filter {
                 it.target == drain.target && it.at > dueAt && it.at < event.until &&
-                    propagationUndisturbed(event.from, it.at) && sentAfter(it.id, dueAt)
+                    isLateAfterDrain(it, event.from, dueAt)
             }.map {
                 SoakViolation("drained targets get nothing", it.at, "$it, drained ${event.from}")
             }
         }
 
-    private fun sentAfter(id: String, moment: Duration): Boolean =
-        history.requests.any { it.id == id && it.sentAt > moment }
+    private fun isLateAfterDrain(arrival: SoakArrival, drainedAt: Duration, dueAt: Duration) =
+        history.requests.any {
+            it.id == arrival.id && it.sentAt > dueAt &&
+                propagationUndisturbed(drainedAt, arrival.at, it.instance)
+        }
 
     private fun probes() = history.requests.mapNotNull { request ->
         (request.work as? SoakWork.ConfigurationProbe)?.let { it.version to request }
@@ -132,7 +135,11 @@
             val replacedAt = published[version + 1]
             val isDue = probe.sentAt > at + PROPAGATION_BOUND && probe.status() == 404 &&
                 (replacedAt == null || probe.endedAt < replacedAt)
-            if (!isDue || !propagationUndisturbed(at, probe.endedAt)) return@mapNotNull null
+            if (!isDue ||
+                !propagationUndisturbed(at, probe.endedAt, probe.instance)
+            ) {
+                return@mapNotNull null
+            }
             SoakViolation("configurations take effect in time", probe.sentAt, "$probe, sent $at")
         }
     }
@@ -266,9 +273,14 @@
     private fun onlyPlanned(from: Duration, until: Duration): Boolean =
         history.events.none { !it.isPlanned() && it.overlaps(from - RECOVERY_TIME, until) }
 
-    /** Whether no event from [from] until [until] may have delayed what instances read. */
-    private fun propagationUndisturbed(from: Duration, until: Duration): Boolean =
-        history.events.none { it.delaysPropagation() && it.overlaps(from - RECOVERY_TIME, until) }
+    /** Whether no event from [from] until [until] may have delayed what [instance] reads. */
+    private fun propagationUndisturbed(
+        from: Duration,
+        until: Duration,
+        instance: Int? = null
+    ): Boolean = history.events.none {
+        it.delaysPropagation(instance) && it.overlaps(from - RECOVERY_TIME, until)
+    }
 
     private fun SoakEvent.overlaps(start: Duration, end: Duration): Boolean =
         from <= end && until >= start
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRegression.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakRegression.kt
@@ -13,6 +13,15 @@
 private val LINKS_CUT_AT: Duration = Duration.ofSeconds(4)
 private val LINK_CUT_LENGTH: Duration = Duration.ofSeconds(6)
 
+/** The relay that the others read, and when it is disturbed. */
+private const val FIRST_RELAY = 0
+private const val RELAY_ROUNDS = 4
+private val FIRST_ROUND_AT: Duration = Duration.ofSeconds(4)
+private val ROUND_GAP: Duration = Duration.ofMillis(8_130)
+private val RELAY_FAULT_LENGTH: Duration = Duration.ofMillis(3_500)
+private val DRAIN_LENGTH: Duration = Duration.ofMillis(3_000)
+private val relaySize = SoakSize(instances = 3, targets = 6, length = Duration.ofSeconds(36))
+
 /** A [plan] of faults that once revealed a defect, described by [cause]. */
 internal data class SoakRegression(
     val cause: String,
@@ -36,9 +45,37 @@
                 SoakFault.InstanceLinks(0, LinkMode.Refusing, LINK_CUT_LENGTH)
             )
         )
+    ),
+    SoakRegression(
+        "a configuration was late while the relay got no answers from the store",
+        relaySize,
+        relayRounds { at ->
+            val cut = SoakFault.StoreLink(FIRST_RELAY, LinkMode.Blackhole, RELAY_FAULT_LENGTH)
+            listOf(
+                PlannedFault(at.minusMillis(300), SoakFault.NewConfiguration),
+                PlannedFault(at, cut),
+                PlannedFault(at.plusMillis(30), SoakFault.NewConfiguration)
+            )
+        }
+    ),
+    SoakRegression(
+        "targets got requests after their drain while the relay stood still",
+        relaySize,
+        relayRounds { at ->
+            listOf(PlannedFault(at, SoakFault.Pause(FIRST_RELAY, RELAY_FAULT_LENGTH))) +
+                List(relaySize.targets / 2) {
+                    val drain = SoakFault.Drain(it, DRAIN_LENGTH)
+                    PlannedFault(at.plusMillis(100 + it * 700L), drain)
+                }
+        }
     )
 )
 
+/** The faults of [round] at several moments, which fall on different parts of the reads' period. */
+private fun relayRounds(round: (Duration) -> List<PlannedFault>): PersistentList<PlannedFault> =
+    (0 until RELAY_ROUNDS).flatMap { round(FIRST_ROUND_AT + ROUND_GAP.multipliedBy(it.toLong())) }
+        .toPersistentList()
+
 private fun hangUps(): List<PlannedFault> = List(HANG_UPS) {
     PlannedFault(RESTART_AT.plusMillis((it + 1) * HANG_UP_GAP_MILLIS), SoakFault.HangUp(0))
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchChart.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchChart.kt
@@ -24,6 +24,7 @@
     public data object ChangesRead : WatchTrigger("changes_read")
     public data object Expired : WatchTrigger("expired")
     public data object Failed : WatchTrigger("failed")
+    public data object RelayFailed : WatchTrigger("relay_failed")
 }
 
 /** The effects of transitions in the chart `topic-watch`. */
@@ -48,7 +49,8 @@
                 WatchTrigger.NewestRead,
                 WatchTrigger.ChangesRead,
                 WatchTrigger.Expired,
-                WatchTrigger.Failed
+                WatchTrigger.Failed,
+                WatchTrigger.RelayFailed
             ),
             effects = persistentListOf(
                 WatchAction.PublishNewest,
--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -6,75 +6,10 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 
-/**
- * The timing of the reads of a topic.
- *
- * Reads start at least [minPeriod] apart, and a read waits up to [waitUpTo] for a record. The delay
- * after a failed read starts at [initialBackOff] and doubles with each further one up to
- * [maxBackOff].
- */
-public data class WatchTiming(
-    val minPeriod: Duration,
-    val waitUpTo: Duration,
-    val initialBackOff: Duration = Duration.ofMillis(150),
-    val maxBackOff: Duration = Duration.ofMillis(500)
-)
-
-/** The outcome of one read of a topic, which began at [startedAt]. */
-public sealed interface WatchEvent<out R> {
-    public val startedAt: Instant
-
-    /** Read the newest record of each key. Changes are read from [next] on. */
-    public data class NewestRead<R>(
-        override val startedAt: Instant,
-        val records: PersistentList<R>,
-        val next: TopicPosition
-    ) : WatchEvent<R>
-
-    /** Read the [records] added before [next]. */
-    public data class ChangesRead<R>(
-        override val startedAt: Instant,
-        val records: PersistentList<R>,
-        val next: TopicPosition
-    ) : WatchEvent<R>
-
-    /** The topic does not hold the requested position: records expired, or an era began. */
-    public data class Expired(override val startedAt: Instant) : WatchEvent<Nothing>
-
-    /** The topic did not answer, or answered with an error. */
-    public data class Failed(override val startedAt: Instant) : WatchEvent<Nothing>
-}
-
-/** What a watch publishes to the followers of a topic. */
-public sealed interface WatchUpdate<out R> {
-    /**
-     * [records] are the newest of all keys. Keys without one no longer exist.
-     *
-     * If [isRestored], the topic came back from an older copy since the last update: the records
-     * may be older than those published before, and keys may be missing until they are written
-     * again.
-     */
-    public data class Newest<R>(val records: PersistentList<R>, val isRestored: Boolean = false) :
-        WatchUpdate<R>
-
-    /** [records] were added in this order. */
-    public data class Changes<R>(val records: PersistentList<R>) : WatchUpdate<R>
-
-    /** The topic became unreadable. */
-    public data object Lost : WatchUpdate<Nothing>
-
-    /** The topic became readable. The last failed read, if any, began at [lastFailureAt]. */
-    public data class Regained(val lastFailureAt: Instant?) : WatchUpdate<Nothing>
-}
-
-/** A read of a topic. */
-public sealed interface WatchRead {
-    /** Reads the newest record of each key. */
-    public data object Newest : WatchRead
+/** Part of the time limit of a read at a relay that is left for its answer to arrive. */
+private val RELAY_ANSWER_TIME: Duration = Duration.ofMillis(100)
 
-    /** Reads the records from [from] on, waiting up to [waitUpTo] for the first. */
-    public data class Changes(val from: TopicPosition, val waitUpTo: Duration) : WatchRead
-}
+private const val MAX_BACK_OFF_DOUBLINGS = 6
 
 /** The next state, and the updates to publish in order. */
 public data class WatchDecision<R>(
@@ -93,69 +28,133 @@
  * The position in a topic and the schedule of its reads.
  *
  * The next record to read is the one at [next]. [hasRead] tells whether the newest records were
- * read before. [failures] counts consecutive failed reads, and [failedAt] is when the last failed
- * read began. [seed] determines the random part of the back-off.
+ * read before. All that was written before [currentAsOf] is known. [failures] counts consecutive
+ * failed reads, and [failedAt] is when the last failed read began. [seed] determines the random
+ * part of the back-off.
  */
 public data class WatchState(
     val timing: WatchTiming,
     val seed: Long,
+    val choice: SourceChoice = SourceChoice(),
     val phase: WatchPhase = watchChart.initial,
     val next: TopicPosition = TopicPosition.Start,
     val hasRead: Boolean = false,
+    val currentAsOf: Instant? = null,
     val failures: Int = 0,
     val failedAt: Instant? = null,
     val connection: WatchConnection = WatchConnection.Unknown,
     val nextReadAt: Instant = Instant.EPOCH
 ) {
-    /** The read that is due at [nextReadAt]. */
-    public val nextRead: WatchRead
-        get() = when (phase) {
-            WatchPhase.Unread -> WatchRead.Newest
-            WatchPhase.Following -> WatchRead.Changes(next, timing.waitUpTo)
+    /** The read to begin at [now], which must not be before [nextReadAt]. */
+    public fun nextRead(now: Instant): WatchRead =
+        when (val source = choice.source(currentAsOf, now)) {
+            TopicSource.Origin -> {
+                val wait = originWait(now)
+                read(source, wait, wait + timing.readTimeout)
+            }
+            is TopicSource.Relay -> {
+                val timeout = relayTimeout(now)
+                read(source, timeout - RELAY_ANSWER_TIME, timeout)
+            }
+        }
+
+    private fun read(source: TopicSource, wait: Duration, timeout: Duration): WatchRead =
+        when (phase) {
+            WatchPhase.Unread -> WatchRead.Newest(source, timing.readTimeout)
+            WatchPhase.Following ->
+                WatchRead.Changes(source, timeout, next, maxOf(wait, Duration.ZERO))
             // A store that is down may accept a read and never answer it, even after its return.
-            WatchPhase.Disconnected -> WatchRead.Changes(next, Duration.ZERO)
+            WatchPhase.Disconnected ->
+                WatchRead.Changes(source, timing.readTimeout, next, Duration.ZERO)
         }
 
+    /** A read ends when the known records reach the age of [WatchTiming.waitUpTo]. */
+    private fun originWait(now: Instant): Duration {
+        if (currentAsOf == null) return timing.waitUpTo
+        val left = timing.waitUpTo - Duration.between(currentAsOf, now)
+        return left.coerceIn(Duration.ZERO, timing.waitUpTo)
+    }
+
+    private fun relayTimeout(now: Instant): Duration {
+        if (currentAsOf == null) return timing.readTimeout
+        return choice.untilTakeover(currentAsOf, now)
+    }
+
     /** Decides on [event] at [now]. */
     public fun <R> decide(event: WatchEvent<R>, now: Instant): WatchDecision<R> =
-        decideCurrent(if (event.isOutdated()) WatchEvent.Failed(event.startedAt) else event, now)
+        decideCurrent(if (event.isOutdated()) event.asFailed() else event, now)
 
     /** A source that has not noticed that an era began tells nothing that holds. */
     private fun WatchEvent<*>.isOutdated(): Boolean = when (this) {
-        is WatchEvent.NewestRead -> this.next.era < this@WatchState.next.era
-        is WatchEvent.ChangesRead -> this.next.era < this@WatchState.next.era
+        is WatchEvent.RecordsRead<*> -> this.next.era < this@WatchState.next.era
         is WatchEvent.Expired, is WatchEvent.Failed -> false
     }
 
     private fun <R> decideCurrent(event: WatchEvent<R>, now: Instant): WatchDecision<R> {
         val step = watchChart.step(phase, event.trigger())
         val read = copy(
+            choice = choice.after(event, now),
             phase = step.state,
             next = event.positionAfter(),
             hasRead = hasRead || event is WatchEvent.NewestRead,
-            failures = if (event is WatchEvent.Failed) failures + 1 else 0,
-            failedAt = if (event is WatchEvent.Failed) event.startedAt else failedAt,
-            nextReadAt = event.nextReadAt(now)
+            currentAsOf = event.currentAsOfAfter(),
+            failures = event.failuresAfter(),
+            failedAt = event.failedAtAfter()
         )
-        return step.effects.fold(WatchDecision(read, persistentListOf())) { decision, action ->
+        val scheduled = read.copy(nextReadAt = read.nextReadAfter(event, now))
+        return step.effects.fold(WatchDecision(scheduled, persistentListOf())) { decision, action ->
             decision.perform(action, event, now, before = this)
         }
     }
 
-    // After expired records, the newest ones are read without delay.
-    private fun WatchEvent<*>.nextReadAt(now: Instant): Instant = when (this) {
-        is WatchEvent.Expired -> now
-        is WatchEvent.NewestRead,
-        is WatchEvent.ChangesRead,
-        is WatchEvent.Failed -> startedAt + timing.minPeriod
-    }
+    private fun SourceChoice.after(event: WatchEvent<*>, now: Instant): SourceChoice =
+        when (event.source) {
+            is TopicSource.Relay ->
+                if (event is WatchEvent.Failed) relayFailed(now) else relayRead()
+            TopicSource.Origin ->
+                if (event is WatchEvent.Failed) originFailed() else originRead(event.startedAt)
+        }
 
     private fun WatchEvent<*>.positionAfter(): TopicPosition = when (this) {
-        is WatchEvent.NewestRead -> this.next
-        is WatchEvent.ChangesRead -> this.next
+        is WatchEvent.RecordsRead<*> -> this.next
         is WatchEvent.Expired, is WatchEvent.Failed -> this@WatchState.next
     }
 
+    private fun WatchEvent<*>.currentAsOfAfter(): Instant? = when (this) {
+        is WatchEvent.RecordsRead<*> ->
+            listOfNotNull(this@WatchState.currentAsOf, this.currentAsOf).maxOrNull()
+        is WatchEvent.Expired, is WatchEvent.Failed -> this@WatchState.currentAsOf
+    }
+
+    /** Failed reads of relays do not count, because the topic itself is read at once. */
+    private fun WatchEvent<*>.failuresAfter(): Int = when (this) {
+        is WatchEvent.RecordsRead<*>, is WatchEvent.Expired -> 0
+        is WatchEvent.Failed -> if (source == TopicSource.Origin) failures + 1 else failures
+    }
+
+    private fun WatchEvent<*>.failedAtAfter(): Instant? =
+        if (this is WatchEvent.Failed && source == TopicSource.Origin) startedAt else failedAt
+
+    private fun nextReadAfter(event: WatchEvent<*>, now: Instant): Instant = when (event) {
+        // After expired records, the newest ones are read without delay.
+        is WatchEvent.Expired -> now
+        is WatchEvent.Failed -> when {
+            event.source is TopicSource.Relay -> now
+            // A single failed read must not delay the next one by a whole period.
+            failures == 1 -> now
+            else -> event.startedAt + timing.minPeriod
+        }
+        is WatchEvent.RecordsRead<*> -> event.startedAt + periodAfter(event, now)
+    }
+
+    private fun periodAfter(event: WatchEvent.RecordsRead<*>, now: Instant): Duration = when {
+        event.source is TopicSource.Relay -> RELAY_PERIOD
+        // The answer held only a part of the records.
+        event.currentAsOf == null -> RELAY_PERIOD
+        choice.source(currentAsOf, now) is TopicSource.Relay -> RELAY_PERIOD
+        else -> timing.minPeriod
+    }
+
     private fun <R> WatchDecision<R>.perform(
         action: WatchAction,
         event: WatchEvent<R>,
@@ -196,17 +195,19 @@
     }
 }
 
-private const val MAX_BACK_OFF_DOUBLINGS = 6
+private fun WatchEvent<*>.asFailed() = WatchEvent.Failed(startedAt, source)
 
 private fun WatchEvent<*>.trigger(): WatchTrigger = when (this) {
     is WatchEvent.NewestRead -> WatchTrigger.NewestRead
     is WatchEvent.ChangesRead -> WatchTrigger.ChangesRead
     is WatchEvent.Expired -> WatchTrigger.Expired
-    is WatchEvent.Failed -> WatchTrigger.Failed
+    is WatchEvent.Failed -> when (source) {
+        is TopicSource.Relay -> WatchTrigger.RelayFailed
+        TopicSource.Origin -> WatchTrigger.Failed
+    }
 }
 
 private fun <R> WatchEvent<R>.records(): PersistentList<R> = when (this) {
-    is WatchEvent.NewestRead -> records
-    is WatchEvent.ChangesRead -> records
+    is WatchEvent.RecordsRead<R> -> records
     is WatchEvent.Expired, is WatchEvent.Failed -> persistentListOf()
 }
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/KeyedTopic.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/KeyedTopic.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import java.time.Duration
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import org.wisteriahinge.core.watch.TopicPosition
 
@@ -15,10 +16,16 @@
     public val value: ByteArray?
 )
 
-/** Records read from a topic, all of one era; the next read starts at [next]. */
+/**
+ * Records read from a topic, all of one era; the next read starts at [next].
+ *
+ * With them, all that was written before [currentAsOf] is known; null if the source does not tell,
+ * or has more records.
+ */
 public class TopicRecords(
     public val records: PersistentList<KeyedRecord>,
-    public val next: TopicPosition
+    public val next: TopicPosition,
+    public val currentAsOf: Instant?
 )
 
 /** Why a topic could not be read. */
@@ -32,11 +39,15 @@
         TopicFailure("position not held ($detail); the newest records are read instead")
 }
 
-/** A topic that retains the newest record of each key. Calls block. */
+/** A topic that retains the newest record of each key. Calls block for up to `timeout`. */
 public interface KeyedTopic {
     /** Reads the newest record of each key. */
-    public fun newest(): Result<TopicRecords, TopicFailure>
+    public fun newest(timeout: Duration): Result<TopicRecords, TopicFailure>
 
     /** Reads the records from [from] on, waiting up to [waitUpTo] for the first. */
-    public fun changes(from: TopicPosition, waitUpTo: Duration): Result<TopicRecords, TopicFailure>
+    public fun changes(
+        from: TopicPosition,
+        waitUpTo: Duration,
+        timeout: Duration
+    ): Result<TopicRecords, TopicFailure>
 }
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/MirroredRecords.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/MirroredRecords.kt
@@ -1,5 +1,7 @@
 package org.wisteriahinge.runtime
 
+import java.time.Duration
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
@@ -32,8 +34,8 @@
  *
  * @property recent the records that followers need, in order; complete from [first] on.
  * @property next the position of the next record to read from the topic.
- * @property isFollowing false while the topic cannot be read, so that followers do not take
- * outdated records for current ones.
+ * @property currentAsOf all that was written to the topic before this moment is known; null if no
+ * such moment is known.
  */
 public data class MirroredRecords(
     private val filter: RecordFilter,
@@ -41,7 +43,7 @@
     val recent: PersistentList<KeyedRecord> = persistentListOf(),
     val first: TopicPosition = TopicPosition.Start,
     val next: TopicPosition = TopicPosition.Start,
-    val isFollowing: Boolean = false
+    val currentAsOf: Instant? = null
 ) {
     /** The newest record of each key that has a value. */
     val newest: List<KeyedRecord> get() = byKey.values.map { it.record }
@@ -54,13 +56,15 @@
                 recent = persistentListOf(),
                 first = read.next,
                 next = read.next,
-                isFollowing = true
+                currentAsOf = latest(read.currentAsOf)
             )
 
     internal fun withChanges(read: TopicRecords): MirroredRecords =
         read.records.fold(this) { all, record -> all.withRecord(record) }
             .trimmed()
-            .copy(next = read.next, isFollowing = true)
+            .copy(next = read.next, currentAsOf = latest(read.currentAsOf))
+
+    private fun latest(other: Instant?): Instant? = listOfNotNull(currentAsOf, other).maxOrNull()
 
     private fun withRecord(record: KeyedRecord): MirroredRecords {
         val projected = projectionOf(record)
@@ -89,6 +93,10 @@
         )
     }
 
+    /** Whether all that was written until [maxAge] before [now] is known. */
+    public fun isCurrent(now: Instant, maxAge: Duration): Boolean =
+        currentAsOf != null && currentAsOf >= now - maxAge
+
     /** The needed records from [from] on; null if they are no longer all kept. */
     public fun since(from: TopicPosition): PersistentList<KeyedRecord>? = when {
         from < first -> null
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicMirror.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicMirror.kt
@@ -1,46 +1,25 @@
 package org.wisteriahinge.runtime
 
-import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
-import java.time.Duration
-import org.wisteriahinge.core.watch.TopicPosition
-
 /**
- * Reads [topic] and keeps the records for followers, which need those that [filter] passes.
+ * Keeps the records read from a topic for followers, which need those that [filter] passes.
  *
- * [onChange] is called on the reading thread after each read.
+ * [onRead] is called on the reading thread after each read.
  */
-public class TopicMirror(
-    private val topic: KeyedTopic,
-    filter: RecordFilter,
-    private val onChange: () -> Unit
-) : KeyedTopic {
+public class TopicMirror(filter: RecordFilter, private val onRead: () -> Unit) {
     @Volatile
     private var state = MirroredRecords(filter)
 
     /** The records read so far; may be called on any thread. */
     public val records: MirroredRecords get() = state
 
-    override fun newest(): Result<TopicRecords, TopicFailure> = topic.newest()
-        .onSuccess { update(state.withNewest(it)) }
-        .onFailure { update(state.copy(isFollowing = false)) }
+    /** The newest record of each key was [read]. */
+    public fun newestRead(read: TopicRecords): Unit = update(state.withNewest(read))
 
-    override fun changes(
-        from: TopicPosition,
-        waitUpTo: Duration
-    ): Result<TopicRecords, TopicFailure> = topic.changes(from, waitUpTo)
-        .onSuccess { update(state.withChanges(it)) }
-        .onFailure {
-            when (it) {
-                is TopicFailure.Unavailable -> update(state.copy(isFollowing = false))
-                // The newest records are read next; followers wait for them.
-                is TopicFailure.Expired -> Unit
-            }
-        }
+    /** Changes were [read] from the end of the records on. */
+    public fun changesRead(read: TopicRecords): Unit = update(state.withChanges(read))
 
     private fun update(next: MirroredRecords) {
         state = next
-        onChange()
+        onRead()
     }
 }
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
@@ -1,18 +1,15 @@
 package org.wisteriahinge.runtime
 
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.time.Clock
 import java.time.Duration
 import java.time.Instant
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
-import org.wisteriahinge.core.watch.TopicPosition
+import org.wisteriahinge.core.watch.TopicSource
 import org.wisteriahinge.core.watch.WatchEvent
 import org.wisteriahinge.core.watch.WatchRead
 import org.wisteriahinge.core.watch.WatchState
-import org.wisteriahinge.core.watch.WatchTiming
 import org.wisteriahinge.core.watch.WatchUpdate
 
 private val logger = KotlinLogging.logger {}
@@ -23,15 +20,21 @@
  * [decode] returns null for a record to be skipped.
  */
 public class TopicWatchDuty<R : Any>(
-    private val topicName: String,
-    private val topic: KeyedTopic,
-    pace: WatchTiming,
+    private val topic: FollowedTopic,
     seed: Long,
     private val clock: Clock,
     private val decode: (KeyedRecord) -> R?,
     private val listener: (WatchUpdate<R>) -> Unit
-) : Duty("watch-$topicName") {
-    private var state = WatchState(pace, seed)
+) : Duty("watch-${topic.name}") {
+    @Volatile
+    private var state = WatchState(topic.timing, seed, topic.choice)
+    private var lastSource: TopicSource? = null
+
+    /** The name of the topic. */
+    public val topicName: String get() = topic.name
+
+    /** All that was written before this moment is known; null before the first read. */
+    public val currentAsOf: Instant? get() = state.currentAsOf
 
     private val readLock = Any()
     private var isReading = false
@@ -54,17 +57,33 @@
 
     private fun nextEvent(): WatchEvent<R> {
         synchronized(readLock) { isReading = true }
+        var source: TopicSource = TopicSource.Origin
         return try {
             sleepUntil(state.nextReadAt)
-            read(clock.instant())
+            val startedAt = clock.instant()
+            val read = state.nextRead(startedAt)
+            source = read.source
+            logChange(source, startedAt)
+            perform(read, startedAt)
         } catch (e: InterruptedException) {
             if (!synchronized(readLock) { restartRequested }) throw e
-            WatchEvent.Failed(clock.instant())
+            WatchEvent.Failed(clock.instant(), source)
         } finally {
             finishRead()
         }
     }
 
+    private fun logChange(source: TopicSource, now: Instant) {
+        if (source == lastSource) return
+        lastSource = source
+        val age = currentAsOf?.let { "${Duration.between(it, now).toMillis()} ms old" }
+        val name = when (source) {
+            TopicSource.Origin -> "the topic itself"
+            is TopicSource.Relay -> "relay ${source.index}"
+        }
+        logger.info { "${topic.name}: reading $name; records are ${age ?: "not known yet"}" }
+    }
+
     /** Clears an interrupt that came after the read, so that it does not end the duty. */
     private fun finishRead() {
         synchronized(readLock) {
@@ -79,37 +98,35 @@
         if (!wait.isNegative) Thread.sleep(wait.toMillis())
     }
 
-    private fun read(startedAt: Instant): WatchEvent<R> = when (val read = state.nextRead) {
-        WatchRead.Newest -> topic.newest().toEvent(startedAt) { records, next ->
-            WatchEvent.NewestRead(startedAt, records, next)
-        }
-        is WatchRead.Changes ->
-            topic.changes(read.from, read.waitUpTo).toEvent(startedAt) { records, next ->
-                WatchEvent.ChangesRead(startedAt, records, next)
+    private fun perform(read: WatchRead, startedAt: Instant): WatchEvent<R> =
+        topic.perform(read).mapBoth(
+            success = { it.toEvent(read, startedAt) },
+            failure = { failure ->
+                logger.info { "${topic.name}: ${failure.message}" }
+                when (failure) {
+                    is TopicFailure.Expired -> WatchEvent.Expired(startedAt, read.source)
+                    is TopicFailure.Unavailable -> WatchEvent.Failed(startedAt, read.source)
+                }
             }
-    }
+        )
 
-    private fun Result<TopicRecords, TopicFailure>.toEvent(
-        startedAt: Instant,
-        success: (PersistentList<R>, TopicPosition) -> WatchEvent<R>
-    ): WatchEvent<R> = mapBoth(
-        success = { read ->
-            success(read.records.mapNotNull(::decodeOrSkip).toPersistentList(), read.next)
-        },
-        failure = { failure ->
-            logger.info { "$topicName: ${failure.message}" }
-            when (failure) {
-                is TopicFailure.Expired -> WatchEvent.Expired(startedAt)
-                is TopicFailure.Unavailable -> WatchEvent.Failed(startedAt)
-            }
+    private fun TopicRecords.toEvent(read: WatchRead, startedAt: Instant): WatchEvent<R> {
+        val decoded = records.mapNotNull(::decodeOrSkip).toPersistentList()
+        return when (read) {
+            is WatchRead.Newest ->
+                WatchEvent.NewestRead(startedAt, decoded, next, currentAsOf, read.source)
+            is WatchRead.Changes ->
+                WatchEvent.ChangesRead(startedAt, decoded, next, currentAsOf, read.source)
         }
-    )
+    }
 
     /** An exception would end the read, and the next one would fail at the same record. */
     private fun decodeOrSkip(record: KeyedRecord): R? = try {
         decode(record)
     } catch (e: RuntimeException) {
-        logger.error(e) { "$topicName: skipping the record '${record.key}' at ${record.position}" }
+        logger.error(e) {
+            "${topic.name}: skipping the record '${record.key}' at ${record.position}"
+        }
         null
     }
 }
--- a/runtime/src/test/kotlin/org/wisteriahinge/runtime/TopicWatchDutyTest.kt
+++ b/runtime/src/test/kotlin/org/wisteriahinge/runtime/TopicWatchDutyTest.kt
@@ -21,24 +21,30 @@
 
 /** Guards against a watch that hangs on a dead connection or ends when its read is interrupted. */
 class TopicWatchDutyTest {
-    private val pace = WatchTiming(Duration.ZERO, Duration.ofSeconds(60), Duration.ofMillis(1))
+    private val pace = WatchTiming(
+        minPeriod = Duration.ZERO,
+        waitUpTo = Duration.ofSeconds(60),
+        readTimeout = Duration.ZERO,
+        initialBackOff = Duration.ofMillis(1)
+    )
 
     /** A topic whose changes never come; the read ends by an interrupt only. */
     private class SilentTopic : KeyedTopic {
         val reads = AtomicInteger()
         val reading = Semaphore(0)
 
-        override fun newest(): Result<TopicRecords, TopicFailure> =
-            Ok(TopicRecords(persistentListOf(), TopicPosition(0, 1)))
+        override fun newest(timeout: Duration): Result<TopicRecords, TopicFailure> =
+            Ok(TopicRecords(persistentListOf(), TopicPosition(0, 1), null))
 
         override fun changes(
             from: TopicPosition,
-            waitUpTo: Duration
+            waitUpTo: Duration,
+            timeout: Duration
         ): Result<TopicRecords, TopicFailure> {
             reads.incrementAndGet()
             reading.release()
             Thread.sleep(waitUpTo.toMillis())
-            return Ok(TopicRecords(persistentListOf(), from))
+            return Ok(TopicRecords(persistentListOf(), from, null))
         }
     }
 
@@ -46,7 +52,8 @@
     fun `a read on a dead connection is interrupted and the duty continues`() {
         val topic = SilentTopic()
         val news = ConcurrentLinkedQueue<WatchUpdate<String>>()
-        val duty = TopicWatchDuty("test", topic, pace, 1, Clock.systemUTC(), { it.key }, news::add)
+        val followed = FollowedTopic("test", pace, topic)
+        val duty = TopicWatchDuty(followed, 1, Clock.systemUTC(), { it.key }, news::add)
         duty.start()
         repeat(20) {
             expectThat(topic.reading.tryAcquire(5, TimeUnit.SECONDS)).isTrue()
@@ -59,10 +66,11 @@
 
     /** A topic with two records, which are read first. */
     private class TwoRecords : KeyedTopic {
-        override fun newest(): Result<TopicRecords, TopicFailure> = Ok(
+        override fun newest(timeout: Duration): Result<TopicRecords, TopicFailure> = Ok(
             TopicRecords(
                 persistentListOf(record("bad", 0), record("good", 1)),
-                TopicPosition(0, 2)
+                TopicPosition(0, 2),
+                currentAsOf = null
             )
         )
 
@@ -71,10 +79,11 @@
 
         override fun changes(
             from: TopicPosition,
-            waitUpTo: Duration
+            waitUpTo: Duration,
+            timeout: Duration
         ): Result<TopicRecords, TopicFailure> {
             Thread.sleep(waitUpTo.toMillis())
-            return Ok(TopicRecords(persistentListOf(), from))
+            return Ok(TopicRecords(persistentListOf(), from, null))
         }
     }
 
@@ -85,8 +94,8 @@
         val decode = { record: KeyedRecord ->
             if (record.key == "bad") error("not expected by the decoder") else record.key
         }
-        val duty =
-            TopicWatchDuty("test", TwoRecords(), pace, 1, Clock.systemUTC(), decode, news::add)
+        val followed = FollowedTopic("test", pace, TwoRecords())
+        val duty = TopicWatchDuty(followed, 1, Clock.systemUTC(), decode, news::add)
         duty.start()
         val newest = generateSequence { news.poll(10, TimeUnit.SECONDS) }
             .filterIsInstance<WatchUpdate.Newest<String>>().first()
