Give up an answer of the store or a relay that never ends

A server that answers without end fills the memory of the process that asked it, and the requests of the other callers end with that process.

Cause: BackendClient.fetch, which reads the store and relays, collected an answer of any length; only its time limit ended it. Calls and probes are not concerned: they stream a body over 64 KiB, or discard it.

Change: fetch gives up after 16 MiB, closes the connection and reports an invalid answer. A page of the store has a few MiB at most.

Evidence: EndlessAnswerTest, a body without a length, in chunks, and of a huge length.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/BackendClient.kt
@@ -13,6 +13,12 @@
 /** Time beyond a request's timeout for which [BackendClient.fetch] waits for its failure. */
 private val REPORT_MARGIN: Duration = Duration.ofSeconds(2)
 
+/**
+ * Longest answer that [BackendClient.fetch] collects. A page of the store has at most a few MiB; a
+ * server that sends more may never stop, and would exhaust the memory of this process.
+ */
+private const val MAX_FETCHED_BYTES = 16 * 1_024 * 1_024
+
 /** HTTP client for requests to targets and to services of the platform. */
 public class BackendClient(
     limits: ConnectionLimits,
@@ -71,29 +77,36 @@
 /** An answer with its whole body. */
 public class FetchedAnswer(public val head: BackendAnswer, public val body: ByteArray)
 
-/** Collects an answer of any length in memory. */
+/** Collects an answer of up to [MAX_FETCHED_BYTES] in memory. */
 private class AnswerCollector : AnswerObserver {
     val result = CompletableFuture<FetchedAnswer>()
     private val pieces = ByteArrayOutputStream()
-    private var head: BackendAnswer? = null
+    private var streamed: StreamedAnswer? = null
 
     override fun answered(answer: BackendAnswer) {
         when (val body = answer.body) {
             is AnswerBody.Absent -> result.complete(FetchedAnswer(answer, ByteArray(0)))
             is AnswerBody.Whole -> result.complete(FetchedAnswer(answer, body.bytes))
             is AnswerBody.Streamed -> {
-                head = answer
+                streamed = StreamedAnswer(answer, body.flow)
                 body.flow.resume()
             }
         }
     }
 
     override fun received(piece: ByteArray) {
+        if (pieces.size() + piece.size > MAX_FETCHED_BYTES) return refuseRest()
         pieces.write(piece)
     }
 
+    private fun refuseRest() {
+        streamed?.flow?.discard()
+        pieces.reset()
+        failed(AttemptFailure.InvalidAnswer, "the answer has more than $MAX_FETCHED_BYTES bytes")
+    }
+
     override fun completed() {
-        head?.let { result.complete(FetchedAnswer(it, pieces.toByteArray())) }
+        streamed?.let { result.complete(FetchedAnswer(it.head, pieces.toByteArray())) }
     }
 
     override fun truncated(detail: String) = failed(AttemptFailure.Truncated, detail)
@@ -102,3 +115,6 @@
         result.completeExceptionally(AttemptFailedException(failure, detail))
     }
 }
+
+/** An answer whose body is still being received. */
+private class StreamedAnswer(val head: BackendAnswer, val flow: AnswerFlow)
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/EndlessAnswerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/EndlessAnswerTest.kt
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.collections.immutable.persistentListOf
+import org.junit.jupiter.api.assertThrows
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import org.wisteriahinge.adapters.caller.RawTarget
@@ -41,6 +42,7 @@
         Endless("", "HTTP/1.1 200 OK\r\n$ID: z\r\nContent-Length: 0\r\n\r\n"),
     "body for another request" to Endless("HTTP/1.1 200 OK\r\n$ID: z\r\n\r\n", "x"),
     "body without a length" to Endless(HEAD + "\r\n", "x"),
+    "body of a huge length" to Endless(HEAD + "Content-Length: 999999999999\r\n\r\n", "x"),
     "body in chunks" to Endless(CHUNKED, "1000\r\n" + "x".repeat(0x1000) + "\r\n")
 )
 
@@ -109,6 +111,23 @@
     fun `a body that never ends is cut off at the deadline`(name: String) =
         play(name, Duration.ofMillis(500))
 
+    /** Guards against an answer of the store or a relay that fills the memory of the process. */
+    @ParameterizedTest
+    @ValueSource(strings = ["body without a length", "body in chunks", "body of a huge length"])
+    fun `an answer that is fetched as a whole is given up when it is too long`(name: String) {
+        target(endless.getValue(name)).use { target ->
+            BackendClient(ConnectionLimits(perTarget = 1)).use { client ->
+                val address = Address("127.0.0.1", target.port)
+                val failed = assertThrows<AttemptFailedException> {
+                    client.fetch(address, request(Duration.ofMinutes(1)))
+                }
+                expectThat(failed.failure).isEqualTo(AttemptFailure.InvalidAnswer)
+                await("the connection closed") { closed.get() == 1 }
+            }
+        }
+        expectThat(written.get()).isLessThan(MAX_BYTES_FOR_EACH)
+    }
+
     private fun play(name: String, remaining: Duration) {
         target(endless.getValue(name)).use { target ->
             BackendClient(ConnectionLimits(perTarget = EXCHANGES)).use { client ->
