Play targets that send bytes without end beside short calls

A report from other operators: a target that sent bytes without end filled the memory of the process that had called it. The tests bounded the bytes of single requests; nothing measured the memory of a whole process.

The scenario endless-answers starts an instance with 128 MB of heap and lets forty targets send without end, in eight parts of an answer and in answers to probes, to callers that read fast, slowly or not at all. The test plays it for five seconds in each run and checks that the process lives within the memory of the smallest machine and breaks off no call of a sound service.

Not played: a call that was handed over by another instance.

--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -10,6 +10,8 @@
 import org.wisteriahinge.bench.configuration.CONFIG_SPREAD
 import org.wisteriahinge.bench.configuration.runConfigSpread
 import org.wisteriahinge.bench.demo.Demo
+import org.wisteriahinge.bench.endless.ENDLESS_ANSWERS
+import org.wisteriahinge.bench.endless.runEndlessAnswers
 import org.wisteriahinge.bench.freshness.FRESHNESS
 import org.wisteriahinge.bench.freshness.runFreshness
 import org.wisteriahinge.bench.fuzz.atMostOnce
@@ -44,7 +46,7 @@
     val seconds by parser.option(
         ArgType.Int,
         "seconds",
-        description = "Seconds of faults in a soak"
+        description = "Seconds of faults in a soak, or of each part of endless-answers"
     )
         .default(30)
     val instances by parser.option(
@@ -84,6 +86,7 @@
         name == POISON_FRONT -> println(runPoisonFront(instances, seed.toLong()))
         name == STRANDED -> println(runStranded(instances, share, seed.toLong()))
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
+        name == ENDLESS_ANSWERS -> println(runEndlessAnswers(seconds))
         name == FRESHNESS -> println(runFreshness(instances, seed.toLong()))
         name == CONFIG_SPREAD -> println(runConfigSpread(seed.toLong()))
         scenario != null -> printRun(scenario, seed.toLong())
@@ -105,6 +108,7 @@
             TARGET_LIMITS,
             CONFIG_SPREAD,
             FRESHNESS,
+            ENDLESS_ANSWERS,
             CAPACITY,
             START_COST
         )
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakDeployment.kt
@@ -153,7 +153,7 @@
  * Returns an address at which nothing listens, with a port that the kernel gives to no outgoing
  * connection, so that it is still free when an instance starts.
  */
-private fun freeAddress(): Address {
+internal fun freeAddress(): Address {
     val port = generateSequence { nextPort.getAndIncrement() }.first(::isFree)
     return Address(LOCALHOST, port)
 }
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
@@ -38,6 +38,9 @@
     /** Whether the process exists, paused or not. */
     val isAlive: Boolean get() = process.isAlive
 
+    /** The id of the process. */
+    val pid: Long get() = process.pid()
+
     val callers: Address get() = addresses.callers
 
     /** Whether the process runs, and the end of its log. */
