Read the store after a relay that does not tell the age of its records

In an upgrade, an instance whose relays are all of an older version would have followed them without a bound.

Cause: records whose age no source told had no moment, and the takeover was decided only for records that have one. Found by reading.

Change: such records count as old, so that the topic itself is read next.

Evidence: WatchStateTest, a new case; FreshnessTest and FrontPathTest passed.

--- a/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/watch/WatchState.kt
@@ -46,17 +46,20 @@
     val nextReadAt: Instant = Instant.EPOCH
 ) {
     /** The read to begin at [now], which must not be before [nextReadAt]. */
-    public fun nextRead(now: Instant): WatchRead =
-        when (val source = choice.source(currentAsOf, now)) {
-            TopicSource.Origin -> {
-                val wait = originWait(now)
-                read(source, wait, wait + timing.readTimeout)
-            }
-            is TopicSource.Relay -> {
-                val timeout = relayTimeout(now)
-                read(source, timeout - RELAY_ANSWER_TIME, timeout)
-            }
+    public fun nextRead(now: Instant): WatchRead = when (val source = source(now)) {
+        TopicSource.Origin -> {
+            val wait = originWait(now)
+            read(source, wait, wait + timing.readTimeout)
         }
+        is TopicSource.Relay -> {
+            val timeout = relayTimeout(now)
+            read(source, timeout - RELAY_ANSWER_TIME, timeout)
+        }
+    }
+
+    /** Records whose age no source told count as old, so that the topic itself is read next. */
+    private fun source(now: Instant): TopicSource =
+        choice.source(currentAsOf ?: Instant.EPOCH.takeIf { hasRead }, now)
 
     private fun read(source: TopicSource, wait: Duration, timeout: Duration): WatchRead =
         when (phase) {
@@ -151,7 +154,7 @@
         event.source is TopicSource.Relay -> RELAY_PERIOD
         // The answer held only a part of the records.
         event.currentAsOf == null -> RELAY_PERIOD
-        choice.source(currentAsOf, now) is TopicSource.Relay -> RELAY_PERIOD
+        source(now) is TopicSource.Relay -> RELAY_PERIOD
         else -> timing.minPeriod
     }
 
--- a/core/src/test/kotlin/org/wisteriahinge/core/watch/WatchStateTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/watch/WatchStateTest.kt
@@ -143,6 +143,19 @@
         expectThat(takeover.waitUpTo).isEqualTo(Duration.ZERO)
     }
 
+    /** Guards against trust in relays of versions before ages during an upgrade. */
+    @Test
+    fun `the topic itself is read after a relay that does not tell the age of its records`() {
+        val unread = WatchState(following.timing, seed = 1, following.choice)
+        val relay = TopicSource.Relay(0)
+        val read = unread.decide(newest(start).copy(currentAsOf = null, source = relay), start)
+        expectThat(unread.nextRead(start).source).isEqualTo(relay)
+        expectThat(read.state.nextRead(start).source).isEqualTo(TopicSource.Origin)
+        val again = read.state.decide(changes(start), start).state
+            .decide(changes(start).copy(currentAsOf = null, source = relay), start).state
+        expectThat(again.nextRead(start.plusMillis(1_400)).source).isEqualTo(TopicSource.Origin)
+    }
+
     @Test
     fun `a read that waits ends before the records are older than the period of reads`() {
         val read = initial.decide(newest(start), start.plusSeconds(10)).state
