--- a/bench/src/main/kotlin/org/wisteriahinge/bench/endless/EndlessCallers.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/endless/EndlessCallers.kt
@@ -53,7 +53,8 @@
         Socket(InetAddress.getByName(address.host), address.port).use { socket ->
             socket.soTimeout = DEADLINE_MILLIS
             val request = "GET /e/$id HTTP/1.1\r\nHost: 127.0.0.1\r\n" +
-                "Wisteriahinge-Request-Id: $id\r\nWisteriahinge-Deadline-Ms: $DEADLINE_MILLIS\r\n\r\n"
+                "Wisteriahinge-Request-Id: $id\r\n" +
+                "Wisteriahinge-Deadline-Ms: $DEADLINE_MILLIS\r\n\r\n"
             socket.getOutputStream().write(request.encodeToByteArray())
             read(socket.getInputStream(), reading)
         }
