Use the permits of targets with rate limits where targets are equal

Seen: SharedRateLimitTest failed on x86-64 in each run (149 requests at six targets that allow 216; more than 151.2 wanted) and passed on arm64.

Cause: idle targets without a permit and idle targets with one have the same score, and the last digit of exp() decided between them: "weight * a + (1 - weight) * a" is not always a, and exp() differs in its last digit between kinds of machines. So the room stayed empty because nothing in the decision preferred a permit that would lapse; arm64 was lucky.

Change: a report that equals the mean gives exactly the mean, exp() comes from StrictMath, and of equal targets the one with a permit goes first.

The bound is unchanged.

--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
@@ -113,16 +113,27 @@
     private val context: ScoreContext,
     private val decisionContext: DecisionContext
 ) {
+    /**
+     * The lower score first. Of equal targets the one whose rate limit allows a request now,
+     * because permits that are not used in time are lost to the callers of all instances.
+     */
+    private val bestFirst = compareBy<Pair<TargetView, Double>>(
+        { it.second },
+        { it.first.target.id !in state.rateLimits.byTarget }
+    )
+
     fun best(ids: List<TargetId>): TargetView? = ids
         .mapNotNull { usable(it) }
         .filter { it.isEligible() }
-        .minByOrNull { it.score(context) }
+        .map { it to it.score(context) }
+        .minWithOrNull(bestFirst)
+        ?.first
 
     fun ranked(ids: List<TargetId>, count: Int): List<TargetView> = ids
         .mapNotNull { usable(it) }
         .filter { it.isEligible() }
         .map { it to it.score(context) }
-        .sortedBy { it.second }
+        .sortedWith(bestFirst)
         .take(count)
         .map { it.first }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetScore.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/TargetScore.kt
@@ -2,7 +2,6 @@
 
 import java.time.Duration
 import java.time.Instant
-import kotlin.math.exp
 import org.wisteriahinge.core.availability.AvailabilityState
 import org.wisteriahinge.core.availability.SUSPECT_LATENCY_RATIO
 import org.wisteriahinge.core.model.Zone
@@ -74,8 +73,9 @@
 private fun TargetView.expectedLoad(context: ScoreContext): Double {
     val report = load ?: return inFlight + meanOtherInFlight
     val ageMillis = Duration.between(report.observedAt, context.now).toNanos() / NANOS_PER_MILLI
-    val weight = exp(-ageMillis.coerceAtLeast(0.0) / context.policy.reportDecayMillis)
-    return inFlight + weight * otherInFlight + (1 - weight) * meanOtherInFlight
+    val others =
+        decaying(otherInFlight, meanOtherInFlight, ageMillis, context.policy.reportDecayMillis)
+    return inFlight + others
 }
 
 private fun TargetView.expectedPace(context: ScoreContext): Double {
@@ -92,8 +92,23 @@
     val report = load ?: return context.meanReportedPace
     val pace = report.pacePercent ?: return context.meanReportedPace
     val ageMillis = Duration.between(report.observedAt, context.now).toNanos() / NANOS_PER_MILLI
-    val weight = exp(-ageMillis.coerceAtLeast(0.0) / PACE_REPORT_DECAY_MILLIS)
-    return weight * pace / PERCENT + (1 - weight) * context.meanReportedPace
+    return decaying(pace / PERCENT, context.meanReportedPace, ageMillis, PACE_REPORT_DECAY_MILLIS)
+}
+
+/**
+ * A [reported] figure of the age [ageMillis], which decays to the [mean].
+ *
+ * A report that equals the mean gives exactly the mean at any age, so that equal targets have equal
+ * scores. StrictMath gives the same bits on every kind of machine, and so the same choices.
+ */
+private fun decaying(
+    reported: Double,
+    mean: Double,
+    ageMillis: Double,
+    decayMillis: Double
+): Double {
+    val weight = StrictMath.exp(-ageMillis.coerceAtLeast(0.0) / decayMillis)
+    return mean + weight * (reported - mean)
 }
 
 private fun TargetView.coldPace(now: Instant): Double {
--- a/core/src/test/kotlin/org/wisteriahinge/core/ratelimit/SharedRateLimitTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/ratelimit/SharedRateLimitTest.kt
@@ -14,6 +14,7 @@
 
 /** Share of a limit that callers must get the use of while more requests come than it allows. */
 private const val USED_SHARE = 0.7
+private const val SEEDS_PER_RUN = 1_000
 
 /** Guards against instances that together exceed the rate that a target accepts from all. */
 class SharedRateLimitTest {
@@ -45,6 +46,22 @@
             .isGreaterThan(USED_SHARE * allowed)
     }
 
+    /** Instances that draw differently must not leave more permits unused than equal ones. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 8, 9])
+    fun `targets with limits are not left empty by instances with seeds of their own`(seed: Long) {
+        val harnesses = List(17) { index ->
+            harness(targets = 8, survey = SurveyPolicy.BeforeEach()).also {
+                val routing = it.state.routing.copy(seed = seed * SEEDS_PER_RUN + index)
+                it.state = it.state.copy(routing = routing)
+            }
+        }
+        val service = LimitedService(harnesses, limits).also { it.play(perSecond = 80, length) }
+        val allowed = limits.values.sum() * length.toSeconds()
+        expectThat(limits.keys.sumOf { service.requestsAt(it) }.toDouble())
+            .isGreaterThan(USED_SHARE * allowed)
+    }
+
     @Test
     fun `calls beyond the limits go to targets without one`() {
         val service = play(instances = 17)
