Send requests to targets that were asked first where limits are known

Found while the failure of SharedRateLimitTest on x86-64 was traced.

Cause: when the targets of a survey turn out to have no permit, the choice falls to any other target, and one that was never asked has no known limit. Each of 153 instances sent such a request to each target at a time of its own.

Change: while targets name limits, one that was never heard of comes last.

--- a/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/routing/ScoredChoice.kt
@@ -122,11 +122,19 @@
         { it.first.target.id !in state.rateLimits.byTarget }
     )
 
+    /**
+     * While targets name rate limits, one that was never heard of comes last: it may have a limit
+     * that other instances use up.
+     */
+    private val askedFirst = compareBy<Pair<TargetView, Double>> {
+        it.first.load == null && state.rateLimits.byTarget.isNotEmpty()
+    }
+
     fun best(ids: List<TargetId>): TargetView? = ids
         .mapNotNull { usable(it) }
         .filter { it.isEligible() }
         .map { it to it.score(context) }
-        .minWithOrNull(bestFirst)
+        .minWithOrNull(askedFirst.then(bestFirst))
         ?.first
 
     fun ranked(ids: List<TargetId>, count: Int): List<TargetView> = ids
