Count requests that end targets over all callers, not for each address alone

Cause: the caller's address was part of the hash by which instances recognize a request, so that each address could end three targets with it.

Change: crashes are counted under two hashes, with and without the address, and a request is refused when either count reaches three. Equal requests that ran at one target are one crash, and content that was answered a short time ago is blamed on its caller only, so that a popular request is not taken away from all when targets end for other reasons.

Also: requests with an Authorization header at an open route were recognized by a hash with the instance's own key, so that no two instances agreed on them.

The decision tests for callers from any address, for others that get answers, and for equal requests at one target fail without the change.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
@@ -66,7 +66,7 @@
             host = headers[HttpHeaderNames.HOST],
             arrivedAt = arrivedAt,
             callerRequestId = callerRequestId,
-            content = receivedContent(body).takeIf { authorization == null },
+            content = receivedContent(body),
             callerAddress = callerAddress,
             handover = handover
         )
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
@@ -20,7 +20,7 @@
  * @property host the `Host` header
  * @property arrivedAt when the request head arrived; null means the time of the first decision
  * @property callerRequestId the caller's own id of this request, if it sent one
- * @property content the content of a request without a [digest]
+ * @property content the content of the request, by which all instances recognize its resends
  * @property callerAddress where the caller's connection came from; null if unknown
  * @property handover what another instance decided that handed the call over; null for callers
  */
@@ -44,8 +44,14 @@
     val handover: HandedOverCall? = null
 )
 
-/** The content of a request, whose digest is computed only when a decision needs it. */
+/** The content of a request, whose digests are computed only when a decision needs them. */
 public fun interface RequestContent {
-    /** The digest of the content; the same at every instance. */
+    /** The digest of the content and of who sent it; the same at every instance. */
     public fun digest(): RequestDigest
+
+    /** The digest without who sent it; null if the content is not known as a whole. */
+    public fun digestOfAnyCaller(): RequestDigest? = null
+
+    /** A cheap hash of the content without who sent it; null if it is not known as a whole. */
+    public fun fingerprint(): Long? = null
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
@@ -15,8 +15,8 @@
 /** Most requests that wait for the check of one server; it has fewer connections from here. */
 private const val MAX_UNVERIFIED_PER_TARGET = 64
 
-/** A request whose connection broke, and whose server is being checked. */
-public data class UnverifiedCrash(val key: SuspectKey, val service: ServiceId)
+/** A request whose connection broke, and whose server is being checked; [keys] are its own. */
+public data class UnverifiedCrash(val keys: PersistentList<SuspectKey>, val service: ServiceId)
 
 /** Most other servers that are asked whether the network works. */
 private const val MAX_WITNESSES = 3
@@ -27,13 +27,24 @@
     target: Target,
     now: Instant
 ): CallsDecision {
-    val crash = UnverifiedCrash(call.suspectKey, call.matched.service.id)
+    val crash = UnverifiedCrash(blamedKeys(call, now), call.matched.service.id)
     return when (quarantine.settings.evidence) {
-        CrashEvidence.BrokenConnection -> recordCrash(crash, now)
+        CrashEvidence.BrokenConnection -> recordCrashes(listOf(crash), now)
         CrashEvidence.EndedServer -> checkServer(crash, target, now)
     }
 }
 
+/**
+ * The keys of [call] that may be to blame. Content that was answered a short time ago does not end
+ * servers by itself; a popular request may run at several servers that end for other reasons.
+ */
+private fun CallsState.blamedKeys(call: CallInProgress, now: Instant): PersistentList<SuspectKey> {
+    val fingerprint = call.request.content?.fingerprint()
+    val isHarmless = fingerprint != null && quarantine.answered.contains(fingerprint, now)
+    val keys = if (isHarmless) listOf(call.suspectKey) else call.suspectKeys
+    return keys.toPersistentList()
+}
+
 /** Checks [target] unless a check is under way, whose outcome then counts for [crash] too. */
 private fun CallsState.checkServer(
     crash: UnverifiedCrash,
@@ -41,7 +52,7 @@
     now: Instant
 ): CallsDecision {
     val path = configuration.entitlements.services[crash.service]?.probePath
-        ?: return recordCrash(crash, now)
+        ?: return recordCrashes(listOf(crash), now)
     val waiting = quarantine.unverified[target.id].orEmpty()
     if (waiting.size >= MAX_UNVERIFIED_PER_TARGET) return CallsDecision(this)
     val all = persistentListOf<UnverifiedCrash>().addAll(waiting).add(crash)
@@ -73,14 +84,19 @@
 /** Without what waits for a check on account of [call], which was answered meanwhile. */
 internal fun QuarantineState.withoutUnverified(call: CallInProgress): QuarantineState {
     if (unverified.isEmpty()) return this
-    val key = call.suspectKey
+    val answered = call.suspectKeys
     return copy(
         unverified = unverified.entries.fold(unverified) { all, (target, crashes) ->
-            all.put(target, crashes.removeAll { it.key == key })
+            all.put(target, crashes.without(answered))
         }
     )
 }
 
+private fun PersistentList<UnverifiedCrash>.without(answered: List<SuspectKey>) =
+    map { it.copy(keys = it.keys.removeAll(answered)) }
+        .filter { it.keys.isNotEmpty() }
+        .toPersistentList()
+
 /** Counts or drops the crashes that waited for the check of a server. */
 internal fun CallsState.serverChecked(event: CallEvent.ServerChecked, now: Instant): CallsDecision {
     val waiting: PersistentList<UnverifiedCrash> =
@@ -90,8 +106,6 @@
     )
     return when (event.outcome) {
         ServerCheckOutcome.Running, ServerCheckOutcome.Unknown -> CallsDecision(checked)
-        ServerCheckOutcome.Ended -> waiting.fold(CallsDecision(checked)) { decision, crash ->
-            decision.then { it.recordCrash(crash, now) }
-        }
+        ServerCheckOutcome.Ended -> checked.recordCrashes(waiting, now)
     }
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineStage.kt
@@ -21,8 +21,7 @@
 /** Refuses a quarantined request, and a suspected one that may be running in another call. */
 internal fun CallsState.enterQuarantine(call: CallInProgress, now: Instant): StageOutcome {
     val unchanged = CallsDecision(this)
-    val suspect = suspectOf(call, now) ?: return StageOutcome.Passed(unchanged)
-    val key = call.suspectKey
+    val (key, suspect) = suspectOf(call, now) ?: return StageOutcome.Passed(unchanged)
     val wait = when {
         suspect.quarantined -> Duration.between(now, suspect.until)
         quarantine.settings.exclusivePeriod.isZero -> return StageOutcome.Passed(unchanged)
@@ -33,9 +32,22 @@
     return StageOutcome.Refused(unchanged, quarantineRefusal(call, wait))
 }
 
-/** The suspect that [call] is; its key is computed only if there are any suspects. */
-private fun CallsState.suspectOf(call: CallInProgress, now: Instant): Suspect? =
-    if (quarantine.suspects.isEmpty()) null else quarantine.suspect(call.suspectKey, now)
+/** The suspect that [call] is, the quarantined one of several; null if it is none. */
+private fun CallsState.suspectOf(call: CallInProgress, now: Instant): KnownSuspect? =
+    suspectsOf(call, now).let { all ->
+        all.firstOrNull { it.suspect.quarantined }
+            ?: all.firstOrNull()
+    }
+
+/** All suspects that [call] is; its keys are computed only if there are any suspects. */
+private fun CallsState.suspectsOf(call: CallInProgress, now: Instant): List<KnownSuspect> {
+    if (quarantine.suspects.isEmpty()) return emptyList()
+    return call.suspectKeys.mapNotNull { key ->
+        quarantine.suspect(key, now)?.let { KnownSuspect(key, it) }
+    }
+}
+
+private data class KnownSuspect(val key: SuspectKey, val suspect: Suspect)
 
 /**
  * Callers of open routes send a request again only after a status that promises that it did not
@@ -52,7 +64,7 @@
 
 /** The refusal of [call], which waited while its request was quarantined; null if it was not. */
 internal fun CallsState.refusalIfQuarantined(call: CallInProgress, now: Instant): Refusal? {
-    val suspect = suspectOf(call, now)?.takeIf { it.quarantined } ?: return null
+    val suspect = suspectOf(call, now)?.suspect?.takeIf { it.quarantined } ?: return null
     return quarantineRefusal(call, Duration.between(now, suspect.until))
 }
 
@@ -70,7 +82,8 @@
         if (call.wasCutOff()) {
             CallsDecision(this)
         } else {
-            copy(quarantine = quarantine.withoutUnverified(call)).clearSuspect(call, now)
+            copy(quarantine = quarantine.withoutUnverified(call).withAnswered(call, now))
+                .clearSuspects(call, now)
         }
     is CallEnd.Refused, is CallEnd.CallerGone -> CallsDecision(this)
 }
@@ -79,14 +92,21 @@
 private fun CallInProgress.wasCutOff(): Boolean =
     (steps.lastOrNull() as? TraceStep.Failed)?.failure == AttemptFailure.Truncated
 
-private fun CallsState.clearSuspect(call: CallInProgress, now: Instant): CallsDecision {
-    val suspect = suspectOf(call, now) ?: return CallsDecision(this)
-    val key = call.suspectKey
-    if (suspect.quarantined) return CallsDecision(this)
-    val cleared = copy(quarantine = quarantine.remove(key))
-    return when (key) {
+private fun QuarantineState.withAnswered(call: CallInProgress, now: Instant): QuarantineState {
+    if (!call.caller.isOpen) return this
+    val fingerprint = call.request.content?.fingerprint() ?: return this
+    return copy(answered = answered.add(fingerprint, now))
+}
+
+private fun CallsState.clearSuspects(call: CallInProgress, now: Instant): CallsDecision =
+    suspectsOf(call, now).filterNot { it.suspect.quarantined }
+        .fold(CallsDecision(this)) { decision, known -> decision.then { it.clearSuspect(known) } }
+
+private fun CallsState.clearSuspect(known: KnownSuspect): CallsDecision {
+    val cleared = copy(quarantine = quarantine.remove(known.key))
+    return when (val key = known.key) {
         is SuspectKey.OfCustomer -> cleared.withdrawReport(key)
-        is SuspectKey.OfContent -> cleared.shareClearance(key, suspect)
+        is SuspectKey.OfContent -> cleared.shareClearance(key, known.suspect)
     }
 }
 
@@ -96,20 +116,28 @@
 
 /** Whether the request of [call] is quarantined, so that it may not be sent again. */
 internal fun CallsState.isQuarantined(call: CallInProgress, now: Instant): Boolean =
-    suspectOf(call, now)?.quarantined == true
+    suspectOf(call, now)?.suspect?.quarantined == true
+
+/**
+ * Counts the crash of one backend server while it ran the requests of [crashes]. Several requests
+ * with the same key, which ran there at the same time, are one crash of that key.
+ */
+internal fun CallsState.recordCrashes(crashes: List<UnverifiedCrash>, now: Instant): CallsDecision {
+    val counted = crashes.fold(CallsDecision(this)) { decision, crash ->
+        decision.emit(CallEffect.Count(CallCounter.CrashSuspected(crash.service)))
+    }
+    return crashes.flatMap { it.keys }.distinct().fold(counted) { decision, key ->
+        decision.then { it.recordCrash(key, now) }
+    }
+}
 
-/** Counts a crash of a backend server while it ran a request. */
-internal fun CallsState.recordCrash(crash: UnverifiedCrash, now: Instant): CallsDecision {
-    val key = crash.key
+private fun CallsState.recordCrash(key: SuspectKey, now: Instant): CallsDecision {
     val known = quarantine.suspectOrNew(key, now)
     val counted = known.copy(
         ownCrashes = known.ownCrashes + 1,
         until = maxOf(known.until, now + quarantine.settings.suspicionPeriod)
     )
-    val next = copy(quarantine = quarantine.put(key, counted, now))
-    return CallsDecision(next)
-        .emit(CallEffect.Count(CallCounter.CrashSuspected(crash.service)))
-        .then { it.report(key, now) }
+    return copy(quarantine = quarantine.put(key, counted, now)).report(key, now)
 }
 
 private fun CallsState.report(key: SuspectKey, now: Instant): CallsDecision {
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineState.kt
@@ -56,13 +56,15 @@
 /**
  * The requests that are suspected or quarantined at this instance.
  *
- * [unverified] holds the requests whose connections broke, by the server that is being checked.
+ * [unverified] holds the requests whose connections broke, by the server that is being checked, and
+ * [answered] the content of requests that were answered.
  */
 public data class QuarantineState(
     val settings: QuarantineSettings = QuarantineSettings(),
     val suspects: PersistentMap<SuspectKey, Suspect> = persistentHashMapOf(),
     val unverified: PersistentMap<TargetId, PersistentList<UnverifiedCrash>> =
         persistentHashMapOf(),
+    val answered: AnsweredContent = AnsweredContent(),
     val reportWindow: ReportWindow = ReportWindow(),
     val lastSummaryAt: Instant = Instant.EPOCH,
     val summaryCount: Int = 0
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/SuspectKey.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/SuspectKey.kt
@@ -20,25 +20,38 @@
     ) : SuspectKey
 
     /**
-     * A request for an open route. The route is not part of the key, because the operator may move
-     * a path to another route between two resends.
+     * A request for an open route, of one caller or of any caller. The route is not part of the
+     * key, because the operator may move a path to another route between two resends.
      */
     public data class OfContent(override val digest: RequestDigest) : SuspectKey
 }
 
 internal val CallInProgress.suspectKey: SuspectKey
     get() = if (caller.isOpen) {
-        SuspectKey.OfContent(request.identity())
+        SuspectKey.OfContent(request.content?.digest() ?: request.identity())
     } else {
         SuspectKey.OfCustomer(caller.customer.id, matched.ref, request.identity())
     }
 
+/**
+ * The request by its content alone, which is the same for all callers; null if this is not known.
+ *
+ * A request that ends every target that runs it may come from many addresses. Counted by address
+ * alone, each of them could end as many targets as the first.
+ */
+internal val CallInProgress.sharedSuspectKey: SuspectKey.OfContent?
+    get() = request.content?.takeIf { caller.isOpen }?.digestOfAnyCaller()
+        ?.let { SuspectKey.OfContent(it) }
+
+/** All keys under which the crashes of this request are counted. */
+internal val CallInProgress.suspectKeys: List<SuspectKey>
+    get() = listOfNotNull(suspectKey, sharedSuspectKey)
+
 /**
  * The digest of the content; without it a hash of the idempotency key; without both a hash of path
  * and declared length, because a streamed upload has no digest when its first attempt starts.
  */
 private fun CallRequest.identity(): RequestDigest = digest
-    ?: content?.digest()
     ?: idempotencyKey?.let { shortHash("key ${it.value}") }
     ?: shortHash("length $bodyBytes $path")
 
--- a/core/src/test/kotlin/org/wisteriahinge/core/quarantine/OpenQuarantineTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quarantine/OpenQuarantineTest.kt
@@ -10,6 +10,7 @@
 import org.wisteriahinge.core.call.CallsHarness
 import org.wisteriahinge.core.call.OpenRoutesFixture
 import org.wisteriahinge.core.call.OpenRoutesFixture.arriveOpen
+import org.wisteriahinge.core.call.RequestContent
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.InstanceId
@@ -47,6 +48,18 @@
     private fun CallsHarness.send(id: Long, digest: RequestDigest = CRASHER): Attempt =
         arriveOpen(request(id, digest)).forwarded.single()
 
+    /** Content with the digest [CRASHER] for all callers together and one for each [caller]. */
+    private fun sharedContent(caller: String) = object : RequestContent {
+        override fun digest() = RequestDigest("$caller-crasher")
+
+        override fun digestOfAnyCaller() = CRASHER
+
+        override fun fingerprint() = 1L
+    }
+
+    private fun CallsHarness.sendShared(id: Long, caller: String): Attempt =
+        arriveOpen(request(id).copy(content = sharedContent(caller))).forwarded.single()
+
     /** The connection of [attempt] breaks; the check of its server then says [ended]. */
     private fun CallsHarness.breakOff(id: Long, attempt: Attempt, ended: Boolean = true) {
         fail(id, attempt, AttemptFailure.Disconnected, replayable = false)
@@ -66,6 +79,46 @@
         }
     }
 
+    /** Each of many addresses could otherwise end three targets with the same request. */
+    @Test
+    fun `a request that ended three targets is refused for callers from any address`() {
+        listOf("a", "b", "c").forEachIndexed { index, caller ->
+            val id = index + 1L
+            harness.breakOff(id, harness.sendShared(id, caller))
+        }
+        harness.arriveOpen(harness.request(4).copy(content = sharedContent("d")))
+        expectThat(harness.refusals).single()
+            .get { reason }.isEqualTo(RefusalReason.CrashesServers)
+    }
+
+    /** A caller whose headers end targets must not take a path away from the others. */
+    @Test
+    fun `a request that others get answered is refused only for the caller that ends targets`() {
+        val answered = harness.sendShared(1, "b")
+        harness.answer(1, answered).complete(1, answered)
+        (2L..4L).forEach { harness.breakOff(it, harness.sendShared(it, "a")) }
+        harness.arriveOpen(harness.request(5).copy(content = sharedContent("a")))
+        expectThat(harness.refusals).hasSize(1)
+        harness.sendShared(6, "b")
+    }
+
+    /** A target that ends may run a popular request for several callers at once. */
+    @Test
+    fun `equal requests that ran at one target when it ended count as one crash`() {
+        val single = instance(targets = 1)
+        val attempts = listOf("a", "b", "c").mapIndexed { index, caller ->
+            single.sendShared(index + 1L, caller)
+        }
+        attempts.forEachIndexed { index, attempt ->
+            single.fail(index + 1L, attempt, AttemptFailure.Disconnected, replayable = false)
+        }
+        single.handle(
+            CallEvent.ServerChecked(attempts.first().target.id, ServerCheckOutcome.Ended)
+        )
+        val shared = single.state.quarantine.suspects[SuspectKey.OfContent(CRASHER)]
+        expectThat(shared?.crashes).isEqualTo(1)
+    }
+
     @Test
     fun `connections that break at targets that still run are no crashes`() {
         (1L..9L).forEach { harness.breakOff(it, harness.send(it), ended = false) }
