Add the types of customers with API keys and of their quotas

These types are shared by the checks of keys and by the quotas, which follow; nothing uses them yet, so that deployments without such customers are served as before.

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRequest.kt
@@ -5,6 +5,7 @@
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.CredentialId
 import org.wisteriahinge.core.model.IdempotencyKey
+import org.wisteriahinge.core.model.KeyHash
 import org.wisteriahinge.core.model.RequestDigest
 
 /** A caller's credential as sent: the credential's id and the keyed hash of the secret. */
@@ -22,6 +23,7 @@
  * @property callerRequestId the caller's own id of this request, if it sent one
  * @property content the content of the request, by which all instances recognize its resends
  * @property callerAddress where the caller's connection came from; null if unknown
+ * @property apiKey the hash of the API key that the caller presented; null if it presented none
  * @property handover what another instance decided that handed the call over; null for callers
  */
 public data class CallRequest(
@@ -41,7 +43,8 @@
     val callerRequestId: String? = null,
     val content: RequestContent? = null,
     val callerAddress: String? = null,
-    val handover: HandedOverCall? = null
+    val handover: HandedOverCall? = null,
+    val apiKey: KeyHash? = null
 )
 
 /** The content of a request, whose digests are computed only when a decision needs them. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallerChecks.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallerChecks.kt
@@ -11,6 +11,7 @@
 import org.wisteriahinge.core.model.CredentialOwner
 import org.wisteriahinge.core.model.Customer
 import org.wisteriahinge.core.model.Customers
+import org.wisteriahinge.core.model.KeyedCustomer
 import org.wisteriahinge.core.model.MatchedOperation
 import org.wisteriahinge.core.model.Plan
 import org.wisteriahinge.core.model.RefusalReason
@@ -24,13 +25,14 @@
 /**
  * The customer on whose behalf a call runs, with the plan in force.
  *
- * [isOpen] marks callers of open routes, which need no credential: they have no identity, and
- * [customer] and [plan] are placeholders.
+ * [isOpen] marks callers of routes, which have no plan: [plan] is a placeholder, and so is
+ * [customer] unless the caller presented the API key of [keyed].
  */
 public data class EntitledCaller(
     val customer: Customer,
     val plan: Plan,
-    val isOpen: Boolean = false
+    val isOpen: Boolean = false,
+    val keyed: KeyedCustomer? = null
 )
 
 /** A call that passed all checks that depend only on the request and the operators' lists. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Configuration.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Configuration.kt
@@ -17,13 +17,15 @@
 /**
  * The two lists of the operators, [customers] and [entitlements], at one [revision].
  *
- * [requestLimits] override those of the instance's settings; null if the lists set none.
+ * [requestLimits] override those of the instance's settings; null if the lists set none. [keyed]
+ * are the customers of routes; null if callers of routes need no key.
  */
 public data class Configuration(
     val revision: RevisionNumber,
     val customers: Customers,
     val entitlements: Entitlements,
-    val requestLimits: RequestLimits? = null
+    val requestLimits: RequestLimits? = null,
+    val keyed: KeyedCustomers? = null
 ) {
     public companion object {
         /** The configuration before the first revision: no customers and no services. */
--- /dev/null
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/KeyedCustomers.kt
@@ -0,0 +1,41 @@
+package org.wisteriahinge.core.model
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+
+/** Hash of an API key; the key itself is not kept. */
+@JvmInline
+public value class KeyHash(public val value: String) {
+    override fun toString(): String = value
+}
+
+/**
+ * What a customer may send over all instances together: [requestsPerSecond] and, beyond that,
+ * [burstRequests] at once.
+ */
+public data class RequestQuota(val requestsPerSecond: Double, val burstRequests: Int)
+
+/**
+ * A customer whose callers present API keys at routes.
+ *
+ * [priority] takes precedence over that of the route; null leaves the route's. Without a [quota],
+ * the number of requests is not limited.
+ */
+public data class KeyedCustomer(
+    val id: CustomerId,
+    val keys: PersistentSet<KeyHash>,
+    val priority: Int? = null,
+    val quota: RequestQuota? = null
+)
+
+/** The customers whose callers present API keys. */
+public data class KeyedCustomers(val byId: PersistentMap<CustomerId, KeyedCustomer>) {
+    private val byKey: PersistentMap<KeyHash, KeyedCustomer> =
+        byId.values.fold(persistentHashMapOf()) { owners, customer ->
+            customer.keys.fold(owners) { all, key -> all.put(key, customer) }
+        }
+
+    /** The customer that holds [key]; null if none does. */
+    public fun owner(key: KeyHash): KeyedCustomer? = byKey[key]
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Route.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Route.kt
@@ -31,7 +31,8 @@
 /**
  * An open route: requests for [host] below [pathPrefix] need no credential.
  *
- * [pathPrefix] begins and ends with a slash. Requests are divided among [backends] by weight.
+ * [pathPrefix] begins and ends with a slash. Requests are divided among [backends] by weight. Where
+ * the configuration lists keyed customers, a request needs an API key unless the route [isPublic].
  */
 public data class Route(
     val id: OperationId,
@@ -39,7 +40,8 @@
     val pathPrefix: String,
     val backends: PersistentList<Backend>,
     val repeatability: Repeatability,
-    val bounds: CallBounds
+    val bounds: CallBounds,
+    val isPublic: Boolean = false
 ) {
     /** The operation that represents this route in decisions on calls. */
     public val operation: Operation = Operation(
