Ask targets of other services first whether a target ended

Cause: a refused connection counts as a crash only if one of three other targets answers, and the three were of the same service. A request that had ended them all left none that answered, so that nothing was counted.

Change: two of the three are of other services, and while none answers the check is repeated every 250 ms for 8 s: a target that ended is back by then, under another id.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/ServerChecker.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/ServerChecker.kt
@@ -52,7 +52,7 @@
     /** [target] refuses connections; it has ended if one of the [witnesses] answers. */
     private fun askWitnesses(target: Target, witnesses: PersistentList<Witness>) {
         val next = witnesses.firstOrNull()
-            ?: return target.checked(ServerCheckOutcome.Unknown)
+            ?: return target.checked(ServerCheckOutcome.Unconfirmed)
         request(next.target, next.path) { reply ->
             when (reply) {
                 is Reply.Answered -> target.checked(ServerCheckOutcome.Ended)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -16,6 +16,7 @@
 import org.wisteriahinge.core.quarantine.crashesCleared
 import org.wisteriahinge.core.quarantine.crashesShared
 import org.wisteriahinge.core.quarantine.quarantineReported
+import org.wisteriahinge.core.quarantine.repeatServerChecks
 import org.wisteriahinge.core.quarantine.serverChecked
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
 import org.wisteriahinge.core.routing.membersChanged
@@ -150,6 +151,7 @@
         .emit(CallEffect.Refuse(callId, refusal))
 
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
+    .then { it.repeatServerChecks(now) }
     .then { it.refuseExpired(now) }
     .then { it.refuseExpiredHeld(now) }
     .then { it.endExpiredSurveys(now) }
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/CrashVerification.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.core.quarantine
 
+import java.time.Duration
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
@@ -21,6 +22,28 @@
 /** Most other servers that are asked whether the network works. */
 private const val MAX_WITNESSES = 3
 
+/** Of these, the most of other services than that of the server in question. */
+private const val MAX_FOREIGN_WITNESSES = 2
+
+/** Time between checks of a server while no other server answers. */
+private val RECHECK_PERIOD: Duration = Duration.ofMillis(250)
+
+/** Time after which such a server is not checked any more; one that ended is back before. */
+private val MAX_CHECK_TIME: Duration = Duration.ofSeconds(8)
+
+/**
+ * The check of a server and the requests that ran there. It is under way since [startedAt], and is
+ * repeated at [nextAt]; null while the server is being asked.
+ */
+public data class ServerCheck(
+    val target: Target,
+    val crashes: PersistentList<UnverifiedCrash>,
+    val startedAt: Instant,
+    val nextAt: Instant? = null
+) {
+    internal val service: ServiceId get() = crashes.first().service
+}
+
 /** Records that the connection of [call] to [target] broke while the request may have run there. */
 internal fun CallsState.connectionBroke(
     call: CallInProgress,
@@ -53,41 +76,56 @@
 ): CallsDecision {
     val path = configuration.entitlements.services[crash.service]?.probePath
         ?: return recordCrashes(listOf(crash), now)
-    val waiting = quarantine.unverified[target.id].orEmpty()
-    if (waiting.size >= MAX_UNVERIFIED_PER_TARGET) return CallsDecision(this)
-    val all = persistentListOf<UnverifiedCrash>().addAll(waiting).add(crash)
-    val next = CallsDecision(
-        copy(quarantine = quarantine.copy(unverified = quarantine.unverified.put(target.id, all)))
-    )
-    return if (waiting.isEmpty()) {
-        next.emit(CallEffect.CheckServer(target, path, witnesses(crash.service, target, now)))
-    } else {
-        next
-    }
+    val known = quarantine.unverified[target.id]
+        ?: return withCheck(ServerCheck(target, persistentListOf(crash), now)).emit(
+            CallEffect.CheckServer(target, path, witnesses(crash.service, target, now))
+        )
+    if (known.crashes.size >= MAX_UNVERIFIED_PER_TARGET) return CallsDecision(this)
+    return withCheck(known.copy(crashes = known.crashes.add(crash)))
 }
 
-/** Other targets, of [service] if it has any, whose answers show that the network works. */
+private fun CallsState.withCheck(check: ServerCheck): CallsDecision {
+    val unverified = quarantine.unverified.put(check.target.id, check)
+    return CallsDecision(copy(quarantine = quarantine.copy(unverified = unverified)))
+}
+
+/**
+ * Other targets whose answers show that the network works.
+ *
+ * Most are of other services than [service], if there are any: a request that ended [target] may
+ * have ended the other targets of [service] as well.
+ */
 private fun CallsState.witnesses(
     service: ServiceId,
     target: Target,
     now: Instant
-): PersistentList<Witness> = routing.targets.values
-    .filter { it.target.id != target.id && !routing.rateLimits.isPaused(it.target.id, now) }
-    .sortedWith(compareBy({ it.service != service }, { it.health.failures }))
-    .take(MAX_WITNESSES)
-    .mapNotNull { view ->
-        val path = configuration.entitlements.services[view.service]?.probePath
-        path?.let { Witness(view.target, it) }
-    }
-    .toPersistentList()
+): PersistentList<Witness> {
+    val (own, foreign) = routing.targets.values
+        .filter { it.target.id != target.id && !routing.rateLimits.isPaused(it.target.id, now) }
+        .sortedBy { it.health.failures }
+        .partition { it.service == service }
+    val ordered =
+        foreign.take(MAX_FOREIGN_WITNESSES) + own + foreign.drop(MAX_FOREIGN_WITNESSES)
+    return ordered.take(MAX_WITNESSES)
+        .mapNotNull { view ->
+            val path = configuration.entitlements.services[view.service]?.probePath
+            path?.let { Witness(view.target, it) }
+        }
+        .toPersistentList()
+}
 
 /** Without what waits for a check on account of [call], which was answered meanwhile. */
 internal fun QuarantineState.withoutUnverified(call: CallInProgress): QuarantineState {
     if (unverified.isEmpty()) return this
     val answered = call.suspectKeys
     return copy(
-        unverified = unverified.entries.fold(unverified) { all, (target, crashes) ->
-            all.put(target, crashes.without(answered))
+        unverified = unverified.entries.fold(unverified) { all, (target, check) ->
+            val crashes = check.crashes.without(answered)
+            if (crashes.isEmpty()) {
+                all.remove(target)
+            } else {
+                all.put(target, check.copy(crashes = crashes))
+            }
         }
     )
 }
@@ -97,15 +135,40 @@
         .filter { it.keys.isNotEmpty() }
         .toPersistentList()
 
-/** Counts or drops the crashes that waited for the check of a server. */
+/** Counts or drops the crashes that waited for the check of a server, or repeats the check. */
 internal fun CallsState.serverChecked(event: CallEvent.ServerChecked, now: Instant): CallsDecision {
-    val waiting: PersistentList<UnverifiedCrash> =
-        quarantine.unverified[event.target] ?: return CallsDecision(this)
+    val check = quarantine.unverified[event.target] ?: return CallsDecision(this)
     val checked = copy(
         quarantine = quarantine.copy(unverified = quarantine.unverified.remove(event.target))
     )
     return when (event.outcome) {
         ServerCheckOutcome.Running, ServerCheckOutcome.Unknown -> CallsDecision(checked)
-        ServerCheckOutcome.Ended -> checked.recordCrashes(waiting, now)
+        ServerCheckOutcome.Unconfirmed ->
+            if (now < check.startedAt + MAX_CHECK_TIME) {
+                checked.withCheck(check.copy(nextAt = now + RECHECK_PERIOD))
+            } else {
+                CallsDecision(checked)
+            }
+        ServerCheckOutcome.Ended -> checked.recordCrashes(check.crashes, now)
     }
 }
+
+/** Checks servers again that refused connections while no other server answered. */
+internal fun CallsState.repeatServerChecks(now: Instant): CallsDecision =
+    quarantine.unverified.values
+        .filter { check -> check.nextAt?.let { it <= now } == true }
+        .sortedBy { it.target.id.value }
+        .fold(CallsDecision(this)) { decision, check ->
+            decision.then { it.repeatServerCheck(check, now) }
+        }
+
+private fun CallsState.repeatServerCheck(check: ServerCheck, now: Instant): CallsDecision {
+    val path = configuration.entitlements.services[check.service]?.probePath
+    if (path == null) {
+        val unverified = quarantine.unverified.remove(check.target.id)
+        return CallsDecision(copy(quarantine = quarantine.copy(unverified = unverified)))
+    }
+    return withCheck(check.copy(nextAt = null)).emit(
+        CallEffect.CheckServer(check.target, path, witnesses(check.service, check.target, now))
+    )
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/QuarantineState.kt
@@ -2,7 +2,6 @@
 
 import java.time.Duration
 import java.time.Instant
-import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.model.InstanceId
@@ -62,13 +61,15 @@
 public data class QuarantineState(
     val settings: QuarantineSettings = QuarantineSettings(),
     val suspects: PersistentMap<SuspectKey, Suspect> = persistentHashMapOf(),
-    val unverified: PersistentMap<TargetId, PersistentList<UnverifiedCrash>> =
-        persistentHashMapOf(),
+    val unverified: PersistentMap<TargetId, ServerCheck> = persistentHashMapOf(),
     val answered: AnsweredContent = AnsweredContent(),
     val reportWindow: ReportWindow = ReportWindow(),
     val lastSummaryAt: Instant = Instant.EPOCH,
     val summaryCount: Int = 0
 ) {
+    /** When the next check of a server is due again; null if none is. */
+    public val nextCheckAt: Instant? get() = unverified.values.mapNotNull { it.nextAt }.minOrNull()
+
     /** The suspect [key]; null if there is none or it has expired. */
     public fun suspect(key: SuspectKey, now: Instant): Suspect? =
         if (suspects.isEmpty()) null else suspects[key]?.takeIf { it.until > now }
--- a/core/src/main/kotlin/org/wisteriahinge/core/quarantine/ServerCheckOutcome.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quarantine/ServerCheckOutcome.kt
@@ -8,6 +8,9 @@
     /** The process ended: another one answers, or nothing accepts connections at its address. */
     public data object Ended : ServerCheckOutcome
 
-    /** Neither is known, because the server is silent or no other server can be reached either. */
+    /** It refuses connections, and no other server answered to show that the network works. */
+    public data object Unconfirmed : ServerCheckOutcome
+
+    /** Neither is known, because the server is silent. */
     public data object Unknown : ServerCheckOutcome
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/quarantine/OpenQuarantineTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quarantine/OpenQuarantineTest.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.quarantine
 
 import java.time.Duration
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
 import org.wisteriahinge.core.call.Attempt
@@ -11,13 +12,21 @@
 import org.wisteriahinge.core.call.OpenRoutesFixture
 import org.wisteriahinge.core.call.OpenRoutesFixture.arriveOpen
 import org.wisteriahinge.core.call.RequestContent
+import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.RequestDigest
+import org.wisteriahinge.core.model.Service
+import org.wisteriahinge.core.model.ServiceId
+import org.wisteriahinge.core.model.Target
+import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.routing.TargetView
 import org.wisteriahinge.core.survey.SurveyPolicy
 import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -146,6 +155,55 @@
         }
     }
 
+    /** A request that ends all targets of a small service leaves none there that answers. */
+    @Test
+    fun `a check asks targets of other services first`() {
+        val harness = instance(targets = 4)
+        val other = ServiceId("other")
+        val views = listOf("u1", "u2").map {
+            TargetView(other, Target(TargetId(it), Zone("a"), Address("10.0.1.1", 80), slots = 3))
+        }
+        val routing = harness.state.routing
+        val entitlements = harness.state.configuration.entitlements
+        harness.state = harness.state.copy(
+            routing = routing.copy(
+                targets = views.fold(routing.targets) { all, view -> all.put(view.target.id, view) }
+            ),
+            configuration = harness.state.configuration.copy(
+                entitlements = entitlements.copy(
+                    services = entitlements.services.put(
+                        other,
+                        Service(other, persistentListOf(), persistentListOf(), "/health")
+                    )
+                )
+            )
+        )
+        val attempt = harness.send(1)
+        val check = harness.fail(1, attempt, AttemptFailure.Disconnected, replayable = false)
+            .effects.filterIsInstance<CallEffect.CheckServer>().single()
+        expectThat(check.witnesses.map { it.target.id }.take(2))
+            .containsExactlyInAnyOrder(TargetId("u1"), TargetId("u2"))
+    }
+
+    /** The only service may have lost all its targets; one that is back shows that it ended. */
+    @Test
+    fun `a server that refuses connections while no other answers is checked again`() {
+        val attempt = harness.send(1)
+        harness.fail(1, attempt, AttemptFailure.Disconnected, replayable = false)
+        harness.handle(
+            CallEvent.ServerChecked(attempt.target.id, ServerCheckOutcome.Unconfirmed)
+        )
+        expectThat(harness.state.quarantine.suspects).isEmpty()
+        harness.now += Duration.ofMillis(500)
+        expectThat(
+            harness.handle(CallEvent.Ticked).effects.filterIsInstance<CallEffect.CheckServer>()
+        )
+            .single().get { target }.isEqualTo(attempt.target)
+        harness.handle(CallEvent.ServerChecked(attempt.target.id, ServerCheckOutcome.Ended))
+        expectThat(harness.state.quarantine.suspects.values).single()
+            .get { crashes }.isEqualTo(1)
+    }
+
     @Test
     fun `one check decides on all requests whose connections to a target broke at once`() {
         val single = instance(targets = 1)
