Check the API keys of callers where the configuration lists customers

Callers of routes were all open: the configuration's list of customers with keys was ignored, so that a request without a key, or with one that no customer holds, ran, and targets were not told whose request it was.

A request for a route that is not public is refused with 401 without a known key, looked up by hash. The customer's priority goes before the route's. Targets get the customer's name instead of the Authorization header and of any header of that name from the caller, also on retries, hedges and calls that are handed over. The key is looked up again where an attempt starts. An instance that takes a call over trusts a sender that has checked the key; for one of an older version it checks the key itself. Deployments without such customers are served as before.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/WireDialect.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/WireDialect.kt
@@ -67,6 +67,15 @@
     public data object Omitted : RetryContext
 }
 
+/** What callers present in the `Authorization` header. */
+public sealed interface CallerAuthentication {
+    /** A credential of the form `Bearer <credential id>.<secret>`. */
+    public data object Credential : CallerAuthentication
+
+    /** An API key, `Bearer <key>`. Targets get the name of its customer in [customerHeader]. */
+    public data class ApiKey(val customerHeader: String) : CallerAuthentication
+}
+
 /**
  * The names and formats of the headers that callers, instances and targets exchange.
  *
@@ -75,7 +84,7 @@
  * [targetId] the one that answered; either is null if it is not exchanged. With [forwardsHost],
  * targets receive the caller's `Host` header. With [fractionalRetryAfter], `Retry-After` has
  * fractions of a second. The headers in [withheldHeaders], in lower case, are not forwarded to
- * targets.
+ * targets. [authentication] is what callers present.
  */
 public data class WireDialect(
     val timeoutHeader: String,
@@ -88,7 +97,8 @@
     val targetId: String?,
     val forwardsHost: Boolean,
     val fractionalRetryAfter: Boolean,
-    val withheldHeaders: PersistentSet<String>
+    val withheldHeaders: PersistentSet<String>,
+    val authentication: CallerAuthentication
 ) {
     public companion object {
         /** The headers of this product, named in [WireHeaders]. */
@@ -106,7 +116,8 @@
             withheldHeaders = persistentSetOf(
                 "authorization",
                 WireHeaders.IDEMPOTENCY_KEY.lowercase()
-            )
+            ),
+            authentication = CallerAuthentication.Credential
         )
     }
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CredentialHasher.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/CredentialHasher.kt
@@ -10,6 +10,13 @@
 private const val ALGORITHM = "HmacSHA256"
 private const val BEARER_PREFIX = "Bearer "
 
+/** The token of the header value `Bearer <token>`; null if it has another form. */
+internal fun String.bearerToken(): String? = if (startsWith(BEARER_PREFIX, ignoreCase = true)) {
+    drop(BEARER_PREFIX.length).trim()
+} else {
+    null
+}
+
 /** Computes keyed hashes of credentials and requests with the deployment's credential key. */
 public class CredentialHasher(key: ByteArray) {
     private val keySpec = SecretKeySpec(key, ALGORITHM)
@@ -29,8 +36,7 @@
 
     /** Parses `Bearer <credential id>.<secret>`; null if [authorization] has another form. */
     public fun parseBearer(authorization: String?): PresentedCredential? {
-        val token = authorization?.takeIf { it.startsWith(BEARER_PREFIX, ignoreCase = true) }
-            ?.drop(BEARER_PREFIX.length)?.trim() ?: return null
+        val token = authorization?.bearerToken() ?: return null
         val separator = token.indexOf('.')
         if (separator <= 0) return null
         return PresentedCredential(
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ForwardedCall.kt
@@ -25,6 +25,7 @@
 internal class ForwardedCall(
     val request: CallRequest,
     private val headers: PersistentList<HeaderField>,
+    private val rules: HeaderRules,
     private val body: RequestBody,
     private val ownership: AnswerOwnership
 ) {
@@ -45,7 +46,7 @@
         return BackendRequest(
             method = request.method,
             pathAndQuery = request.path,
-            headers = headers.addAll(generatedHeaders)
+            headers = rules.identified(headers, attempt.identity).addAll(generatedHeaders)
                 .addAll(retryContextHeaders(attempt, dialect)),
             body = body,
             remaining = remaining,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/HeaderRules.kt
@@ -5,12 +5,14 @@
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.adapters.AnswerValidation
+import org.wisteriahinge.adapters.CallerAuthentication
 import org.wisteriahinge.adapters.RetryContext
 import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.WireHeaders
 import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.HeaderField
 import org.wisteriahinge.adapters.handover.HandoverHeaders
+import org.wisteriahinge.core.model.ForwardedIdentity
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), in lower case. */
 private val HOP_BY_HOP = persistentHashSetOf(
@@ -28,6 +30,8 @@
 /** Set anew for each message (`content-length`) or handled by this instance (`expect`). */
 private val REWRITTEN = persistentHashSetOf("content-length", "expect")
 
+private const val AUTHORIZATION = "Authorization"
+
 private val RETRY_CONTEXT_HEADERS = listOf(
     WireHeaders.DEPTH.lowercase(),
     WireHeaders.ATTEMPT.lowercase(),
@@ -63,6 +67,27 @@
     fun forwarded(all: List<HeaderField>): PersistentList<HeaderField> =
         all.without(notForwarded).toPersistentList()
 
+    /** Of [forwarded] headers, those that a target gets with what it learns of the caller. */
+    fun identified(
+        forwarded: PersistentList<HeaderField>,
+        identity: ForwardedIdentity
+    ): PersistentList<HeaderField> = when (val authentication = dialect.authentication) {
+        CallerAuthentication.Credential -> forwarded
+        is CallerAuthentication.ApiKey -> when (identity) {
+            ForwardedIdentity.AsSent -> forwarded
+            ForwardedIdentity.Anonymous -> forwarded.withoutIdentity(authentication)
+            is ForwardedIdentity.OfCustomer -> forwarded.withoutIdentity(authentication)
+                .add(HeaderField(authentication.customerHeader, identity.customer.value))
+        }
+    }
+
+    private fun PersistentList<HeaderField>.withoutIdentity(
+        authentication: CallerAuthentication.ApiKey
+    ): PersistentList<HeaderField> = removeAll {
+        it.name.equals(AUTHORIZATION, ignoreCase = true) ||
+            it.name.equals(authentication.customerHeader, ignoreCase = true)
+    }
+
     /** The target's headers that are passed on to the caller. */
     fun delivered(all: List<HeaderField>): List<HeaderField> = all.without(notDelivered)
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
@@ -9,14 +9,19 @@
 import io.netty.handler.codec.http.HttpRequest
 import java.security.MessageDigest
 import java.time.Instant
+import org.wisteriahinge.adapters.CallerAuthentication
+import org.wisteriahinge.adapters.WireDialect
 import org.wisteriahinge.adapters.backend.AnswerOwnership
 import org.wisteriahinge.adapters.backend.RequestBody
 import org.wisteriahinge.adapters.handover.HandoverHeaders
 import org.wisteriahinge.adapters.handover.decodeHandover
 import org.wisteriahinge.core.call.CallRequest
+import org.wisteriahinge.core.call.PresentedCredential
 import org.wisteriahinge.core.handover.HandedOverCall
 import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.KeyHash
 import org.wisteriahinge.core.model.RefusalReason
+import org.wisteriahinge.core.model.RequestDigest
 
 /** A request whose head was received and validated; its body may still be arriving. */
 internal class ReceivedHead(
@@ -37,6 +42,7 @@
         return ForwardedCall(
             callRequest(body, ownership.requestId()),
             services.rules.forwarded(fields),
+            services.rules,
             body,
             ownership
         )
@@ -53,11 +59,11 @@
         val timeout = minOf(head.timeout ?: settings.defaultTimeout, settings.maxTimeout)
         return CallRequest(
             callId = callId,
-            credential = services.hasher.parseBearer(authorization),
+            credential = services.dialect.credentialIn(authorization),
             method = head.method,
             path = head.target,
             idempotencyKey = head.idempotencyKey,
-            digest = authorization?.let { digestOf(body) },
+            digest = services.dialect.digestOf(authorization, body),
             deadline = arrivedAt + timeout,
             depth = head.depth,
             retriesAllowed = head.retriesAllowed,
@@ -68,10 +74,29 @@
             callerRequestId = callerRequestId,
             content = receivedContent(body),
             callerAddress = callerAddress,
-            handover = handover
+            handover = handover,
+            apiKey = services.dialect.apiKeyIn(authorization)
         )
     }
 
+    private fun WireDialect.credentialIn(authorization: String?): PresentedCredential? =
+        when (authentication) {
+            CallerAuthentication.Credential -> services.hasher.parseBearer(authorization)
+            is CallerAuthentication.ApiKey -> null
+        }
+
+    private fun WireDialect.apiKeyIn(authorization: String?): KeyHash? = when (authentication) {
+        CallerAuthentication.Credential -> null
+        is CallerAuthentication.ApiKey -> authorization?.bearerToken()?.let(KeyHash::of)
+    }
+
+    /** Callers with API keys send no idempotency keys, for which the digest is compared. */
+    private fun WireDialect.digestOf(authorization: String?, body: RequestBody): RequestDigest? =
+        when (authentication) {
+            CallerAuthentication.Credential -> authorization?.let { digestOf(body) }
+            is CallerAuthentication.ApiKey -> null
+        }
+
     private fun receivedContent(body: RequestBody) =
         ReceivedContent(callerAddress, headers[HttpHeaderNames.HOST], head, body)
 
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/handover/HandoverHeaders.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/handover/HandoverHeaders.kt
@@ -11,7 +11,9 @@
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.handover.HandedOverCall
 import org.wisteriahinge.core.model.CallBounds
+import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.ForwardedIdentity
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.Refusal
@@ -34,7 +36,12 @@
 /** A handed-over call as received, with the [token] that its sender presented. */
 internal data class PresentedHandover(val token: String, val call: HandedOverCall)
 
-/** CBOR form of a [PresentedHandover], which is sent in base64. */
+/**
+ * CBOR form of a [PresentedHandover], which is sent in base64.
+ *
+ * With [customer], or with [isAnonymous] for a call that needs no key, the sender has checked the
+ * caller's key. Senders of versions before API keys send neither.
+ */
 @Serializable
 private class WireHandover(
     val token: String,
@@ -45,7 +52,9 @@
     val maxTargets: Int?,
     val objectiveMillis: Long?,
     val priority: Int,
-    val callerAddress: String?
+    val callerAddress: String?,
+    val customer: String? = null,
+    val isAnonymous: Boolean = false
 )
 
 @Serializable
@@ -69,7 +78,9 @@
         call.bounds.maxTargets,
         call.bounds.objective?.toMillis(),
         call.bounds.priority,
-        call.callerAddress
+        call.callerAddress,
+        call.identity.customerName(),
+        isAnonymous = call.identity == ForwardedIdentity.Anonymous
     )
     val bytes = cbor.encodeToByteArray(WireHandover.serializer(), wire)
     return Base64.getEncoder().encodeToString(bytes)
@@ -97,10 +108,22 @@
             objective = objectiveMillis?.let(Duration::ofMillis),
             priority = priority
         ),
-        callerAddress
+        callerAddress,
+        identity()
     )
 )
 
+private fun ForwardedIdentity.customerName(): String? = when (this) {
+    is ForwardedIdentity.OfCustomer -> customer.value
+    ForwardedIdentity.Anonymous, ForwardedIdentity.AsSent -> null
+}
+
+private fun WireHandover.identity(): ForwardedIdentity = when {
+    customer != null -> ForwardedIdentity.OfCustomer(CustomerId(customer))
+    isAnonymous -> ForwardedIdentity.Anonymous
+    else -> ForwardedIdentity.AsSent
+}
+
 private fun Repeatability.toWire(): WireRepeatability = when (this) {
     Repeatability.Repeatable -> WireRepeatability.REPEATABLE
     Repeatability.AtMostOnce -> WireRepeatability.AT_MOST_ONCE
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.core.call
 
+import com.github.michaelbull.result.getError
 import java.time.Duration
 import java.time.Instant
 import org.wisteriahinge.core.admission.acquirePermit
@@ -43,6 +44,7 @@
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
     // A call that waited for a target may have been quarantined since it arrived.
     refusalIfQuarantined(call, now)?.let { return refuse(call.request.callId, it, now) }
+    identityOf(call).getError()?.let { return refuse(call.request.callId, it.refusal(), now) }
     val service = call.matched.service.id
     val started = countStart(call, now).acquirePermit(call, now)
     return when (val destination = chooseDestination(call, now)) {
@@ -78,7 +80,8 @@
         deadline = call.request.deadline,
         noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed,
         isRepeatable = call.isRepeatable(),
-        sendBy = sendBy(choice.target.id, now)
+        sendBy = sendBy(choice.target.id, now),
+        identity = identityOrAnonymous(call)
     )
     val passedOver = routing.withoutPermit(routeRequest(call, now), now).size
     val step =
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -12,6 +12,7 @@
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.CustomerId
+import org.wisteriahinge.core.model.ForwardedIdentity
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.Refusal
 import org.wisteriahinge.core.model.RequestDigest
@@ -30,6 +31,8 @@
  *
  * [noRetry] asks the layers behind the target not to retry, because this attempt is itself a retry
  * or a hedge, or because an outer layer retries.
+ *
+ * [identity] is what the target learns about the caller.
  */
 public data class Attempt(
     val id: AttemptId,
@@ -39,7 +42,8 @@
     val noRetry: Boolean = false,
     val isRepeatable: Boolean = true,
     val sendBy: Instant? = null,
-    val path: AttemptPath = AttemptPath.Direct
+    val path: AttemptPath = AttemptPath.Direct,
+    val identity: ForwardedIdentity = ForwardedIdentity.AsSent
 ) {
     /** Whether an answer with [status] is always delivered, without considering a retry. */
     public fun isDeliverable(status: Int): Boolean = !isServerError(status)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHandover.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHandover.kt
@@ -8,6 +8,7 @@
 import org.wisteriahinge.core.handover.asTarget
 import org.wisteriahinge.core.handover.choosePeer
 import org.wisteriahinge.core.model.AttemptId
+import org.wisteriahinge.core.model.ForwardedIdentity
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.routing.TargetChoice
@@ -77,6 +78,7 @@
 ): CallsDecision {
     val service = call.matched.service.id
     val peer = destination.peer
+    val identity = identityOrAnonymous(call)
     val attempt = Attempt(
         id = AttemptId(lastAttemptId + 1),
         number = call.attemptsStarted + 1,
@@ -84,7 +86,8 @@
         deadline = call.request.deadline,
         noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed,
         isRepeatable = call.isRepeatable(),
-        path = AttemptPath.ThroughInstance(peer, call.handedOver(destination.self))
+        path = AttemptPath.ThroughInstance(peer, call.handedOver(destination.self, identity)),
+        identity = identity
     )
     val step = TraceStep.HandedOver(now, attempt.number, peer.id, destination.cause)
     return launch(call, attempt, step, now)
@@ -94,7 +97,10 @@
 private fun PeerInstance.asAttemptTarget() = Target(id.asTarget(), zone, address, slots = 1)
 
 /** What the other instance needs to know; it may use as many targets as are left. */
-private fun CallInProgress.handedOver(self: InstanceId): HandedOverCall {
+private fun CallInProgress.handedOver(
+    self: InstanceId,
+    identity: ForwardedIdentity
+): HandedOverCall {
     val operation = matched.operation
     return HandedOverCall(
         self,
@@ -102,7 +108,8 @@
         operation.id,
         operation.repeatability,
         operation.bounds.copy(maxTargets = targetsLeft(), timeout = null),
-        request.callerAddress
+        request.callerAddress,
+        identity
     )
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRank.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRank.kt
@@ -3,8 +3,10 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.model.Entitlements
+import org.wisteriahinge.core.model.KeyedCustomers
 import org.wisteriahinge.core.model.Operation
 import org.wisteriahinge.core.model.Repeatability
+import org.wisteriahinge.core.model.Route
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.ratelimit.RequestUrgency
 
@@ -17,22 +19,30 @@
         compareValuesBy(this, other, CallRank::priority, CallRank::isRepeatable)
 }
 
-private val Operation.rank: CallRank
-    get() = CallRank(
-        bounds.priority,
-        isRepeatable = when (repeatability) {
-            Repeatability.Repeatable -> true
-            Repeatability.AtMostOnce, Repeatability.OncePerRequest -> false
-        }
-    )
+private val Operation.rank: CallRank get() = rankWith(bounds.priority)
 
-/** The rank of the most urgent operation or route of each service in [entitlements]. */
-internal fun mostUrgentOf(entitlements: Entitlements): PersistentMap<ServiceId, CallRank> {
+private fun Operation.rankWith(priority: Int) = CallRank(
+    priority,
+    isRepeatable = when (repeatability) {
+        Repeatability.Repeatable -> true
+        Repeatability.AtMostOnce, Repeatability.OncePerRequest -> false
+    }
+)
+
+/**
+ * The rank of the most urgent operation or route of each service in [entitlements]. The customers
+ * that may use a route are all of [keyed], unless it is public.
+ */
+internal fun mostUrgentOf(
+    entitlements: Entitlements,
+    keyed: KeyedCustomers? = null
+): PersistentMap<ServiceId, CallRank> {
     val own = entitlements.services.values.flatMap { service ->
         service.operations.map { service.id to it.rank }
     }
     val routed = entitlements.routes.routes.flatMap { route ->
-        route.backends.map { it.service to route.operation.rank }
+        val rank = route.mostUrgentRank(keyed) ?: return@flatMap emptyList()
+        route.backends.map { it.service to rank }
     }
     return (own + routed).fold(persistentHashMapOf()) { all, (service, rank) ->
         val known = all[service]
@@ -40,6 +50,13 @@
     }
 }
 
+/** The rank of the most urgent calls of a route; null if no customer may call it. */
+private fun Route.mostUrgentRank(keyed: KeyedCustomers?): CallRank? {
+    if (keyed == null || isPublic) return operation.rank
+    return keyed.byId.values.filter { it.keys.isNotEmpty() }
+        .minOfOrNull { operation.rankWith(it.priority ?: bounds.priority) }
+}
+
 /** Whether [call] goes first at targets whose rate limit does not allow all calls. */
 internal fun CallsState.urgencyOf(call: CallInProgress): RequestUrgency {
     val first = mostUrgent[call.matched.service.id] ?: return RequestUrgency.First
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -110,14 +110,14 @@
     val next = copy(
         configuration = configuration.copy(entitlements = entitlements),
         routing = routing.configured(entitlements),
-        mostUrgent = mostUrgentOf(entitlements)
+        mostUrgent = mostUrgentOf(entitlements, configuration.keyed)
     )
     return next.announceIfChanged(before = routing.rateLimits)
 }
 
 internal fun CallsState.arrive(request: CallRequest, now: Instant): CallsDecision {
     request.handover?.let { return arriveHandedOver(request, it, now) }
-    val route = request.host?.let { configuration.entitlements.routes.match(it, request.path) }
+    val route = configuration.routeOf(request)
     return if (route == null) arriveWithPlan(request, now) else arriveOpen(request, route, now)
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.core.call
 
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.mapBoth
 import java.time.Instant
 import java.util.SplittableRandom
@@ -12,6 +13,8 @@
 import org.wisteriahinge.core.model.Customer
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Execution
+import org.wisteriahinge.core.model.ForwardedIdentity
+import org.wisteriahinge.core.model.KeyedCustomer
 import org.wisteriahinge.core.model.MatchedOperation
 import org.wisteriahinge.core.model.Operation
 import org.wisteriahinge.core.model.PathTemplate
@@ -39,22 +42,50 @@
     burstBytes = Long.MAX_VALUE
 )
 
-/** Stands for all callers of open routes with the priority of [bounds]; they share one queue. */
-private fun openCaller(bounds: CallBounds): EntitledCaller {
+/**
+ * Stands for all callers of open routes with the priority of [bounds], which share one queue, or
+ * for those of the customer [keyed].
+ */
+private fun openCaller(bounds: CallBounds, keyed: KeyedCustomer? = null): EntitledCaller {
     val rank = bounds.priority.coerceIn(0, MAX_RANK)
     val name = "open-$rank"
+    val customer = keyed?.id ?: CustomerId(name)
     return EntitledCaller(
-        Customer(CustomerId(name), PlanId(name), persistentListOf(), Standing.Active),
+        Customer(customer, PlanId(name), persistentListOf(), Standing.Active),
         Plan(PlanId(name), unlimited, persistentSetOf(), HIGHEST_WEIGHT shr rank),
-        isOpen = true
+        isOpen = true,
+        keyed = keyed
     )
 }
 
-/** Handles a request for an open route: chooses its backend service and limits its deadline. */
+/** The priority of the customer takes precedence over that of the route. */
+private fun Operation.forCustomer(keyed: KeyedCustomer?): Operation {
+    val priority = keyed?.priority ?: return this
+    return if (priority ==
+        bounds.priority
+    ) {
+        this
+    } else {
+        copy(bounds = bounds.copy(priority = priority))
+    }
+}
+
+/** Handles a request for a route: checks its key, if it needs one, and admits it. */
 internal fun CallsState.arriveOpen(
     request: CallRequest,
     route: Route,
     now: Instant
+): CallsDecision = configuration.customerOf(request, route).mapBoth(
+    success = { customer -> arriveOpen(request, route, customer, now) },
+    failure = { reason -> refuseOnArrival(request, reason.refusal(), now) }
+)
+
+/** Chooses the backend service of a request of [customer] and limits its deadline. */
+private fun CallsState.arriveOpen(
+    request: CallRequest,
+    route: Route,
+    customer: KeyedCustomer?,
+    now: Instant
 ): CallsDecision {
     val turn = (
         backendTurns[route.id]?.takeIf { it.backends == route.backends }
@@ -69,9 +100,10 @@
             now
         )
     val bounded = request.within(route.bounds, now)
+    val operation = route.operation.forCustomer(customer)
     val checked = CheckedCall(
-        openCaller(route.bounds),
-        MatchedOperation(service, route.operation)
+        openCaller(operation.bounds, customer),
+        MatchedOperation(service, operation)
     )
     return checkLimitsOfRequest(checked, bounded, now).mapBoth(
         success = { chosen.admit(bounded, it, now) },
@@ -97,7 +129,7 @@
     now: Instant
 ): CallsDecision {
     val service = configuration.entitlements.services[handover.service]
-    val refusal = when {
+    val refusal = undecidedKeyRefusal(request, handover) ?: when {
         service == null -> RefusalReason.NoTarget
         calls.values.count { it.request.handover != null } >= MAX_HANDED_OVER_CALLS ->
             RefusalReason.InstanceOverloaded
@@ -123,6 +155,16 @@
     )
 }
 
+/** Senders of versions that know no API keys have not checked the key of [request]. */
+private fun CallsState.undecidedKeyRefusal(
+    request: CallRequest,
+    handover: HandedOverCall
+): RefusalReason? = when (handover.identity) {
+    is ForwardedIdentity.OfCustomer, ForwardedIdentity.Anonymous -> null
+    ForwardedIdentity.AsSent ->
+        configuration.customerOf(request, configuration.routeOf(request)).getError()
+}
+
 /**
  * Each instance starts its rotation at another position, so that the weights hold in total even if
  * each instance gets few requests.
--- a/core/src/main/kotlin/org/wisteriahinge/core/handover/HandedOverCall.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/handover/HandedOverCall.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.core.handover
 
 import org.wisteriahinge.core.model.CallBounds
+import org.wisteriahinge.core.model.ForwardedIdentity
 import org.wisteriahinge.core.model.InstanceId
 import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.Repeatability
@@ -11,7 +12,8 @@
  *
  * The receiving instance chooses the target and does not hand the call over again. Service,
  * [repeatability] and [bounds] are those of the sender's configuration, which may be newer.
- * [callerAddress] is where the caller's connection came from.
+ * [callerAddress] is where the caller's connection came from. The sender has checked the caller's
+ * key, unless [identity] is [ForwardedIdentity.AsSent].
  */
 public data class HandedOverCall(
     val from: InstanceId,
@@ -19,7 +21,8 @@
     val operation: OperationId,
     val repeatability: Repeatability,
     val bounds: CallBounds,
-    val callerAddress: String?
+    val callerAddress: String?,
+    val identity: ForwardedIdentity = ForwardedIdentity.AsSent
 )
 
 /** The way by which an attempt reaches a target. */
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/KeyedCustomers.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/KeyedCustomers.kt
@@ -1,5 +1,7 @@
 package org.wisteriahinge.core.model
 
+import java.security.MessageDigest
+import java.util.HexFormat
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
@@ -8,6 +10,14 @@
 @JvmInline
 public value class KeyHash(public val value: String) {
     override fun toString(): String = value
+
+    public companion object {
+        /** The hash of [key]. API keys are random and long, so that it needs no salt. */
+        public fun of(key: String): KeyHash {
+            val digest = MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())
+            return KeyHash(HexFormat.of().formatHex(digest))
+        }
+    }
 }
 
 /**
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
@@ -25,7 +25,7 @@
         "missing_credential",
         401,
         "No credential",
-        "Send 'Authorization: Bearer <credential id>.<secret>'."
+        "Send 'Authorization: Bearer <API key>' or 'Bearer <credential id>.<secret>'."
     )
 
     public data object UnknownCredential : RefusalReason(
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
@@ -40,6 +40,9 @@
     /** The request is suspected of crashing backend servers. */
     public data object Suspected : RetryDenial("suspected")
 
+    /** The API key of the caller is not accepted any more. */
+    public data object KeyNotAccepted : RetryDenial("key_not_accepted")
+
     /** Other calls of the service are queued, or the target of the hedge has no free slot. */
     public data object CallsWaiting : RetryDenial("calls_waiting")
 
