Send nothing to targets of a zone that the operator evacuates

Cause: the operator's records other than the configuration were not read.

Change: records of evacuations are followed with the configuration and applied before it.

Deployments whose operator evacuates no zone are served as before.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/InstanceStatus.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/admin/InstanceStatus.kt
@@ -23,7 +23,8 @@
     @SerialName("newest_known_revision") val newestKnownRevision: Long,
     @SerialName("calls_in_progress") val callsInProgress: Int,
     @SerialName("calls_ring_waiting") val callsRingWaiting: Int,
-    @SerialName("calls_ring_capacity") val callsRingCapacity: Int
+    @SerialName("calls_ring_capacity") val callsRingCapacity: Int,
+    @SerialName("evacuated_zones") val evacuatedZones: List<String> = emptyList()
 )
 
 /** Source of what [AdminServer] reports. It is called for each request. */
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -9,6 +9,8 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.directory.DirectoryRecord
 import org.wisteriahinge.core.directory.DirectoryState
+import org.wisteriahinge.core.directory.Evacuations
+import org.wisteriahinge.core.directory.OperatorRecord
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.watch.WatchUpdate
@@ -36,7 +38,7 @@
         seed,
         clock,
         ::decodeOperatorRecord,
-        ::onConfigurationUpdate
+        ::onOperatorUpdate
     )
     private val targetsWatch = TopicWatchDuty(
         sources.targets,
@@ -46,6 +48,9 @@
         ::onTargetUpdate
     )
 
+    // Accessed only on the thread of configurationWatch.
+    private var evacuations = Evacuations()
+
     // Accessed only on the thread of targetsWatch.
     private var directory = DirectoryState()
     private var lastListing: ListedTargets? = null
@@ -59,24 +64,37 @@
         targetsWatch.start()
     }
 
-    private fun decodeOperatorRecord(record: KeyedRecord): Configuration? {
+    private fun decodeOperatorRecord(record: KeyedRecord): OperatorRecord? {
+        val zone = PlatformTopics.evacuatedZone(record.key)
         val value = record.value
-        if (record.key != PlatformTopics.CONFIGURATION_KEY || value == null) return null
-        return try {
-            decodeConfiguration(value)
-        } catch (e: DecodeException) {
-            logger.error { "configuration at ${record.position} is not used: ${e.message}" }
-            null
+        return when {
+            zone != null && value == null -> OperatorRecord.ZoneTakenBack(zone)
+            zone != null -> OperatorRecord.ZoneEvacuated(zone)
+            record.key == PlatformTopics.CONFIGURATION_KEY && value != null ->
+                decodeOperatorConfiguration(record, value)
+            else -> null
         }
     }
 
-    private fun onConfigurationUpdate(news: WatchUpdate<Configuration>) {
+    private fun decodeOperatorConfiguration(
+        record: KeyedRecord,
+        value: ByteArray
+    ): OperatorRecord? = try {
+        OperatorRecord.Configured(decodeConfiguration(value))
+    } catch (e: DecodeException) {
+        logger.error { "configuration at ${record.position} is not used: ${e.message}" }
+        null
+    }
+
+    private fun onOperatorUpdate(news: WatchUpdate<OperatorRecord>) {
+        // Zones first, so that a new instance never sends to one that is evacuated.
+        applyEvacuations(evacuations.decide(news))
         when (news) {
             is WatchUpdate.Newest -> {
                 logIfRestored("operator's", news)
-                news.records.forEach(::applyConfiguration)
+                applyConfigurations(news.records)
             }
-            is WatchUpdate.Changes -> news.records.forEach(::applyConfiguration)
+            is WatchUpdate.Changes -> applyConfigurations(news.records)
             WatchUpdate.Lost -> logger.warn {
                 "lost the operator's topic; keeping the configuration"
             }
@@ -84,6 +102,19 @@
         }
     }
 
+    private fun applyEvacuations(next: Evacuations) {
+        if (next == evacuations) return
+        evacuations = next
+        pipeline.offerBlocking(CallEvent.ZonesEvacuated(next.zones))
+        view.zonesEvacuated(next.zones)
+        logger.info { "evacuated zones, whose targets get nothing: ${next.zones}" }
+    }
+
+    private fun applyConfigurations(records: List<OperatorRecord>) {
+        records.filterIsInstance<OperatorRecord.Configured>()
+            .forEach { applyConfiguration(it.configuration) }
+    }
+
     private fun applyConfiguration(next: Configuration) {
         if (next.revision <= view.revision) return
         pipeline.offerBlocking(CallEvent.Configured(next))
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontView.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontView.kt
@@ -7,6 +7,7 @@
 import org.wisteriahinge.core.lifecycle.Readiness
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.RevisionNumber
+import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.runtime.LifecycleDuty
 
 /** Readiness and status of a [FrontInstance], for the platform and operators. */
@@ -23,6 +24,14 @@
     @Volatile
     private var hasTargets = false
 
+    @Volatile
+    private var evacuatedZones: Set<Zone> = emptySet()
+
+    /** Records that targets in [zones] get nothing. */
+    fun zonesEvacuated(zones: Set<Zone>) {
+        evacuatedZones = zones
+    }
+
     /** Records that revision [next] came into force. */
     fun configurationApplied(next: RevisionNumber) {
         revision = maxOf(revision, next)
@@ -54,6 +63,7 @@
         newestKnownRevision = revision.value,
         callsInProgress = pipeline.gateway.callsInProgress,
         callsRingWaiting = pipeline.ring.size,
-        callsRingCapacity = pipeline.ring.capacity
+        callsRingCapacity = pipeline.ring.capacity,
+        evacuatedZones = evacuatedZones.map { it.value }.sorted()
     )
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -76,6 +76,8 @@
             configured(event.configuration).then { it.releaseHeld(now) }
         is CallEvent.TargetsListed ->
             targetsListed(event.targets).then { it.releaseHeld(now) }
+        is CallEvent.ZonesEvacuated ->
+            copy(evacuatedZones = event.zones).withListedTargets()
         is CallEvent.ClaimSettled -> claimSettled(event, now)
         is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
@@ -107,7 +109,7 @@
 
 private fun CallsState.withListedTargets(): CallsDecision {
     val own = configuration.entitlements
-    val entitlements = listed?.let { own.withTargets(it) } ?: own
+    val entitlements = listed?.let { own.withTargets(it.without(evacuatedZones)) } ?: own
     val next = copy(
         configuration = configuration.copy(entitlements = entitlements),
         routing = routing.configured(entitlements),
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -18,6 +18,7 @@
 import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.quarantine.QuarantineState
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
@@ -67,6 +68,7 @@
  *
  * @property backendTurns position in the weighted rotation of each route over its backends
  * @property listed the targets listed by a registry; null where the operators' lists name them
+ * @property evacuatedZones the zones whose listed targets get nothing
  * @property mostUrgent the rank of the most urgent calls of each service
  * @property held the calls that arrived before the instance could serve them
  * @property handover the paths to the targets, and the instances that may have others
@@ -83,6 +85,7 @@
     val surveys: SurveysState = SurveysState(),
     val backendTurns: PersistentMap<OperationId, WeightedRoundRobin> = persistentHashMapOf(),
     val listed: ListedTargets? = null,
+    val evacuatedZones: PersistentSet<Zone> = persistentSetOf(),
     val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
     val held: HeldCalls = HeldCalls(),
     val handover: HandoverState = HandoverState()
