Treat an answer as cut when a reset ends the writing of its request

Seen: a target answered a long upload early with neither a length nor chunks, sent a part of the body and reset the connection while the upload was being written. The part was passed on as a whole answer. The same happened to such an answer when the I/O thread closed its connections at the end of a process.

Cause: Netty closes the connection without an exception when a write fails. Its decoder then ends an answer without a length as if it were complete.

Change: connections to targets allow half closure, which makes an orderly end of the target's side an event of its own. Without that event, an answer that ends with its connection is truncated: the attempt fails, and once the head was passed on, the caller's connection is aborted. Calls, calls that are handed over, the store and relays use the same client.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerDecoder.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerDecoder.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.adapters.backend
 
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.util.ReferenceCountUtil
@@ -25,6 +26,12 @@
         }
     }
 
+    /** The decoder ends an answer without a length when it handles [event]. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) handler.markInputEnded()
+        super.userEventTriggered(context, event)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         handler.isAnsweringHead || super.isContentAlwaysEmpty(message)
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerReceiver.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel as NettyChannel
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import java.io.ByteArrayOutputStream
@@ -55,13 +54,18 @@
                 else -> CollectingReceiver(channel, exchange, head)
             }
         }
-
-        private fun HttpResponse.hasNoBody(exchange: TargetExchange): Boolean =
-            exchange.request.method == HttpMethod.HEAD.name() ||
-                status().code() == NO_CONTENT || status().code() == NOT_MODIFIED
     }
 }
 
+/** Whether the answer has no body because of its status or the method of [exchange]. */
+private fun HttpResponse.hasNoBody(exchange: TargetExchange): Boolean =
+    exchange.isHead || status().code() == NO_CONTENT || status().code() == NOT_MODIFIED
+
+/** Whether the answer to [exchange] has a body that only the end of its connection ends. */
+internal fun HttpResponse.endsWithConnection(exchange: TargetExchange): Boolean =
+    !hasNoBody(exchange) && !HttpUtil.isTransferEncodingChunked(this) &&
+        !HttpUtil.isContentLengthSet(this)
+
 /** Status and headers of an answer whose body is being received. */
 internal class AnswerHead(
     private val status: Int,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
@@ -39,11 +40,12 @@
     /** The rest of an interim answer or an answer to an earlier request; the head follows it. */
     data class Skipping(val exchange: TargetExchange, val skipped: Skipped) : ReadState
 
-    /** The body of the answer. */
+    /** The body of the answer. With [endsWithConnection] nothing else marks its end. */
     data class Body(
         val exchange: TargetExchange,
         val receiver: AnswerReceiver,
-        val reusable: Boolean
+        val reusable: Boolean,
+        val endsWithConnection: Boolean
     ) : ReadState
 }
 
@@ -59,6 +61,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private var state: ReadState = ReadState.Idle
     private var requestWritten = false
+    private var isInputEnded = false
     private var idleSinceNanos = System.nanoTime()
 
     /** Whether an answer was read completely on this connection before. */
@@ -99,6 +102,11 @@
         requestWritten = true
     }
 
+    /** Records that the target ended its side of the connection in order, and not by a reset. */
+    fun markInputEnded() {
+        isInputEnded = true
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (message is HttpResponse) receiveHead(context, message)
@@ -140,7 +148,12 @@
     ) {
         val receiver = AnswerReceiver.of(context.channel(), exchange, response)
         keepAlive = response.keepAliveTimeout()
-        state = ReadState.Body(exchange, receiver, HttpUtil.isKeepAlive(response))
+        state = ReadState.Body(
+            exchange,
+            receiver,
+            reusable = HttpUtil.isKeepAlive(response),
+            endsWithConnection = response.endsWithConnection(exchange)
+        )
         receiver.start()
     }
 
@@ -203,12 +216,18 @@
     ) {
         if (content.decoderResult().isFailure) return closeBroken(context, "malformed chunk")
         body.receiver.accept(content.content())
-        if (content is LastHttpContent) {
-            end(context, body)
-            body.receiver.complete()
-        }
+        if (content !is LastHttpContent) return
+        if (body.isCut()) return closeBroken(context, "the connection did not end in order")
+        end(context, body)
+        body.receiver.complete()
     }
 
+    /**
+     * Whether a body that ends with its connection is incomplete. The decoder ends it in the same
+     * way after an orderly end, after a failed write and when this side closes the connection.
+     */
+    private fun ReadState.Body.isCut(): Boolean = endsWithConnection && !isInputEnded
+
     private fun end(context: ChannelHandlerContext, body: ReadState.Body) {
         state = ReadState.Idle
         isReused = true
@@ -234,6 +253,13 @@
         context.fireChannelWritabilityChanged()
     }
 
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) {
+            closeBroken(context, "the target closed the connection")
+        }
+        context.fireUserEventTriggered(event)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         closeBroken(context, "the target closed the connection")
         context.fireChannelInactive()
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -135,6 +135,8 @@
         .group(loop.group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
+        // Without this, an orderly end of the target's side looks like any other close.
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.RECVBUF_ALLOCATOR, oneReadPerTurn())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout.toMillis().toInt())
         .remoteAddress(InetSocketAddress(address.host, address.port))
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/ForeignAnswerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/ForeignAnswerTest.kt
@@ -49,7 +49,7 @@
         serve: RawConnection.(RawMessage) -> Unit,
         use: (RawTarget, (BackendRequest) -> FetchedAnswer) -> Unit
     ) {
-        RawTarget(serve).use { target ->
+        RawTarget(serve = serve).use { target ->
             BackendClient(ConnectionLimits(perTarget = 1)).use { client ->
                 use(target) { client.fetch(Address("127.0.0.1", target.port), it) }
             }
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/RawHttp.kt
@@ -107,12 +107,24 @@
         socket.getOutputStream().flush()
     }
 
+    /** Closes the connection with a reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     fun answer(body: String, headers: String = "", status: String = "200 OK") =
         write("HTTP/1.1 $status\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body")
 }
 
-/** A backend server on plain sockets; [serve] writes the answer to each request. */
-class RawTarget(private val serve: RawConnection.(RawMessage) -> Unit) : Closeable {
+/**
+ * A backend server on plain sockets; [serve] writes the answer to each request. Without
+ * [readsBodies] it is called when the head of a request was read.
+ */
+class RawTarget(
+    private val readsBodies: Boolean = true,
+    private val serve: RawConnection.(RawMessage) -> Unit
+) : Closeable {
     private val server =
         ServerSocket(0, 256, InetAddress.getLoopbackAddress()).apply { soTimeout = ACCEPT_MILLIS }
     private val open = ConcurrentLinkedQueue<Socket>()
@@ -142,7 +154,7 @@
             val input = BufferedInputStream(socket.getInputStream())
             try {
                 while (true) {
-                    val request = input.readMessage() ?: break
+                    val request = input.readMessage(readsBodies) ?: break
                     requests.add(request)
                     RawConnection(socket).serve(request)
                 }
