Treat an answer as cut when its connection ends before its request was sent

Seen: a target that sent a part of an answer with neither a length nor chunks and ended its side in order, while a long upload was still being written, had that part passed on as a whole answer.

Cause: an orderly end alone counted. A process that ends also closes its connections in order, unless bytes are left unread there.

Change: such an answer is whole only if its request was written completely. An answer with a length or in chunks still is, whatever was read of the upload.

Result: the new case of CutAnswerTest fetched the part before the change and fails with `truncated` after it. A target that answers early with a length and reads on, and one that reads the upload before it answers, work as before.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -224,9 +224,11 @@
 
     /**
      * Whether a body that ends with its connection is incomplete. The decoder ends it in the same
-     * way after an orderly end, after a failed write and when this side closes the connection.
+     * way after an orderly end, after a failed write and when this side closes the connection. A
+     * target that ends its side before it has the whole request may have ended itself.
      */
-    private fun ReadState.Body.isCut(): Boolean = endsWithConnection && !isInputEnded
+    private fun ReadState.Body.isCut(): Boolean =
+        endsWithConnection && !(isInputEnded && requestWritten)
 
     private fun end(context: ChannelHandlerContext, body: ReadState.Body) {
         state = ReadState.Idle
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/CutAnswerTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/CutAnswerTest.kt
@@ -80,6 +80,17 @@
         expectThat(failed.failure).isEqualTo(AttemptFailure.Truncated)
     }
 
+    @Test
+    fun `an answer is cut when its connection ends before its request was written`() {
+        val closing = RawTarget(readsBodies = false) {
+            write("HTTP/1.1 200 OK\r\n\r\npart")
+            socket.shutdownOutput()
+            Thread.sleep(READ_MILLIS)
+        }
+        val failed = assertThrows<AttemptFailedException> { closing.fetch(upload()) }
+        expectThat(failed.failure).isEqualTo(AttemptFailure.Truncated)
+    }
+
     @Test
     fun `an answer is not whole when the client closes its connection`() {
         val target = RawTarget {
