Treat an answer with an undefined status as invalid

Seen: an answer with status 000, 099 or 20 was skipped like an interim one, and its caller got 504 at its deadline instead of an answer from another target. Statuses 600, 999, 2000 and 0200 were passed on to the caller. After 101 all further bytes were dropped until the deadline.

Cause: nothing bounded the status code, and all below 200 counted as interim.

Change: a status code has three digits and is 100 to 599, or the answer is invalid; so is a change of protocols, which no request asks for. The attempt fails with `invalid_answer` (502 for the caller) and is repeated where it may be.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerDecoder.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerDecoder.kt
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.util.ReferenceCountUtil
 
+private val STATUS_CODE = Regex("[1-5][0-9]{2}")
+
 /**
  * Decodes the answers on a connection whose requests [handler] sends.
  *
@@ -32,6 +34,12 @@
         super.userEventTriggered(context, event)
     }
 
+    /** The parts of [statusLine] are the protocol, the status code and the reason. */
+    override fun createMessage(statusLine: Array<String>): HttpMessage {
+        require(STATUS_CODE.matches(statusLine[1])) { "HTTP does not define the status code" }
+        return super.createMessage(statusLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         handler.isAnsweringHead || super.isContentAlwaysEmpty(message)
 }
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnectionHandler.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.DecoderException
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -132,6 +133,9 @@
         if (response.decoderResult().isFailure || response.containsOtherHead()) {
             return failInvalid(context, exchange, "the head of the answer is not valid HTTP")
         }
+        if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) {
+            return failInvalid(context, exchange, "the target switched protocols without request")
+        }
         if (response.isInterim()) return skip(context, expected)
         when (response.ownerFor(exchange)) {
             AnswerOwner.ThisRequest -> startBody(context, response, exchange)
