Treat an answer in another protocol as invalid

Seen: an answer that began with `HTTP/2.0 200` or `HTTP/0.9 200` was passed on to the caller as an HTTP/1.1 answer.

Cause: the decoder takes any word of the form NAME/DIGIT.DIGIT as the version.

Change: the version is HTTP/1 with any minor number, which all have the same framing; another one makes the answer invalid.

Result: 2 of the 3 new cases failed before and pass now (`ICY/1.1` was refused already). The 80 other tests of answers run beside them pass.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerDecoder.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/AnswerDecoder.kt
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.util.ReferenceCountUtil
 
+/** HTTP/1 with any minor version, which all have the same framing. */
+private val PROTOCOL = Regex("""HTTP/1\.\d""")
 private val STATUS_CODE = Regex("[1-5][0-9]{2}")
 
 /**
@@ -36,6 +38,7 @@
 
     /** The parts of [statusLine] are the protocol, the status code and the reason. */
     override fun createMessage(statusLine: Array<String>): HttpMessage {
+        require(PROTOCOL.matches(statusLine[0])) { "the answer is not in HTTP/1" }
         require(STATUS_CODE.matches(statusLine[1])) { "HTTP does not define the status code" }
         return super.createMessage(statusLine)
     }
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/AnswerStatusTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/backend/AnswerStatusTest.kt
@@ -59,6 +59,13 @@
         expectThat(failed.failure).isEqualTo(AttemptFailure.InvalidAnswer)
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = ["HTTP/2.0", "HTTP/0.9", "ICY/1.1"])
+    fun `an answer in another protocol is invalid`(protocol: String) {
+        val failed = assertThrows<AttemptFailedException> { fetch("$protocol 200 OK") }
+        expectThat(failed.failure).isEqualTo(AttemptFailure.InvalidAnswer)
+    }
+
     @Test
     fun `a caller gets a refusal for an answer with status 000`() {
         val target = RawTarget { answer("", status = "000 OK") }
