Limit hedges by a share of the repeatable requests of a service

Cause: operators could not set how much extra work hedges may cause. The constant share of the retry budget had a base allowance, so that an instance with a single request in the window could hedge it. By that rule 146 instances with one request each may hedge 146 requests, where the share is 23.

Change: `hedge-ratio` (0 to 1, default 1: limited by the retry budget alone, as before; 0: none) bounds the hedges in the retry window of an instance to that share of its own repeatable requests. Hedges have no allowance without requests. Each instance rounds the fraction of a hedge at a point of its own for each service, so that the sum over instances keeps the share without coordination. The token bucket of `run` starts without hedges, too.

--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -17,6 +17,7 @@
 import org.wisteriahinge.core.quarantine.QuarantineState
 import org.wisteriahinge.core.ratelimit.RateLimitShare
 import org.wisteriahinge.core.ratelimit.RateLimits
+import org.wisteriahinge.core.retry.HedgeLimit
 import org.wisteriahinge.core.retry.Hedging
 import org.wisteriahinge.core.retry.RetryLimit
 import org.wisteriahinge.core.retry.RetrySettings
@@ -40,7 +41,7 @@
 /** Share of the retry budget that hedges may use. */
 private const val HEDGE_SHARE = 0.85
 
-/** A hedge starts after this quantile of the answer times. */
+/** A hedge starts after this quantile of the answer times of its operation. */
 private const val HEDGE_QUANTILE = 0.9
 
 private const val MAX_ATTEMPTS = 2
@@ -100,12 +101,12 @@
     retries = RetryState(
         RetrySettings(
             maxAttempts = MAX_ATTEMPTS,
-            hedging = Hedging.AfterQuantile(HEDGE_QUANTILE),
+            hedging = hedging(),
             limit = RetryLimit.Window(
                 retryBudget.window,
                 retryBudget.ratio * RETRY_BUDGET_SHARE,
                 RETRY_ALLOWANCE,
-                HEDGE_SHARE
+                HedgeLimit(retryBudget.hedgeRatio, HEDGE_SHARE, seed)
             )
         )
     ),
@@ -122,3 +123,6 @@
         if (handover == null) HandoverPolicy.Off else HandoverPolicy.ToInstances(InstanceId(name))
     )
 )
+
+private fun FrontSettings.hedging(): Hedging =
+    if (retryBudget.hedgeRatio > 0) Hedging.AfterQuantile(HEDGE_QUANTILE) else Hedging.Off
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontSettings.kt
@@ -31,8 +31,18 @@
 
 internal const val DEFAULT_PARTITIONS_PER_TOPIC: Int = 12
 
-/** Within any [window], at most [ratio] of the requests of a service may be sent again. */
-public data class RetryBudgetSettings(val ratio: Double, val window: Duration)
+/** Hedges are limited by the retry budget only. */
+public const val UNLIMITED_HEDGE_RATIO: Double = 1.0
+
+/**
+ * Within any [window], at most [ratio] of the requests of a service may be sent again. Among these
+ * are hedges for at most [hedgeRatio] of its repeatable requests; 0 turns hedges off.
+ */
+public data class RetryBudgetSettings(
+    val ratio: Double,
+    val window: Duration,
+    val hedgeRatio: Double = UNLIMITED_HEDGE_RATIO
+)
 
 /**
  * Addresses at which an instance reads the platform's topics.
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -25,7 +25,8 @@
     gracePeriod = seconds(Settings.graceSeconds),
     retryBudget = RetryBudgetSettings(
         ratio = get(Settings.retryRatio).toDouble(),
-        window = seconds(Settings.retryWindowSeconds)
+        window = seconds(Settings.retryWindowSeconds),
+        hedgeRatio = get(Settings.hedgeRatio).toDouble()
     ),
     defaultTimeout = Duration.ofMillis(long(Settings.defaultTimeoutMillis)),
     maxTimeout = Duration.ofMillis(long(Settings.maxTimeoutMillis)),
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -201,6 +201,14 @@
         "Time window in which retry-ratio applies"
     )
 
+    val hedgeRatio = SettingSpec(
+        "hedge-ratio",
+        SettingKind.Decimal("hedges per repeatable request", 0.0, 1.0),
+        "1",
+        "Share of the repeatable requests of a service that may be sent to a second target " +
+            "while the first is slow, within retry-ratio; 0 for none"
+    )
+
     /** The settings of `run`, which `settings` prints. */
     val ofInstance: PersistentList<SettingSpec> = persistentListOf(
         zone,
@@ -244,6 +252,7 @@
         graceSeconds,
         retryRatio,
         retryWindowSeconds,
+        hedgeRatio,
         defaultTimeoutMillis,
         maxTimeoutMillis,
         bodyMemoryBytes
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -60,7 +60,9 @@
 /** A call that was handed over counts towards the retry budget of the instance it came from. */
 private fun CallsState.countStart(call: CallInProgress, now: Instant): CallsState =
     if (call.request.handover == null) {
-        copy(retries = retries.callStarted(call.matched.service.id, now))
+        copy(
+            retries = retries.callStarted(call.matched.service.id, call.isRepeatable(), now)
+        )
     } else {
         this
     }
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
@@ -18,10 +18,11 @@
 /**
  * Bounds on retries and hedges.
  *
- * [retryRatio] and [hedgeRatio] are the retries and hedges allowed per call of a service. Their sum
- * stays below 0.1, so that every layer has at most 1.1 attempts per call. [burst] is the number of
- * unused ones that accumulate, so that a service with little traffic can retry at all. These three
- * apply if [limit] is [RetryLimit.TokenBucket].
+ * [retryRatio] is the number of retries allowed per call of a service, [hedgeRatio] that of hedges
+ * per repeatable call. Their sum stays below 0.1, so that every layer has at most 1.1 attempts per
+ * call. [burst] is the number of unused ones that accumulate. A service starts with a full burst of
+ * retries, so that it can retry at all with little traffic, and without hedges. These three apply
+ * if [limit] is [RetryLimit.TokenBucket].
  */
 public data class RetrySettings(
     val retryRatio: Double = 0.07,
@@ -59,29 +60,32 @@
     val settings: RetrySettings = RetrySettings(),
     val services: PersistentMap<ServiceId, ServiceRetries> = persistentHashMapOf()
 ) {
-    /** The budgets of [service]; full ones if no call of it was counted yet. */
+    /** The budgets of [service]; the initial ones if no call of it was counted yet. */
     public fun of(service: ServiceId): ServiceRetries = services[service] ?: ServiceRetries(
         retries = RetryBudget(settings.burst, settings.burst),
-        hedges = RetryBudget(settings.burst, settings.burst)
+        hedges = RetryBudget(balance = 0.0, settings.burst)
     )
 
     /** Counts a call of [service] that starts its first attempt at [now]. */
-    public fun callStarted(service: ServiceId, now: Instant): RetryState = with(of(service)) {
-        val counted = when (val limit = settings.limit) {
-            RetryLimit.TokenBucket -> copy(
-                retries = retries.deposit(settings.retryRatio),
-                hedges = hedges.deposit(settings.hedgeRatio)
-            )
-            is RetryLimit.Window -> copy(window = window.countRequest(limit, now))
+    public fun callStarted(service: ServiceId, isRepeatable: Boolean, now: Instant): RetryState =
+        with(of(service)) {
+            val counted = when (val limit = settings.limit) {
+                RetryLimit.TokenBucket -> copy(
+                    retries = retries.deposit(settings.retryRatio),
+                    hedges = if (isRepeatable) hedges.deposit(settings.hedgeRatio) else hedges
+                )
+                is RetryLimit.Window ->
+                    copy(window = window.countRequest(limit, isRepeatable, now))
+            }
+            put(service, counted)
         }
-        put(service, counted)
-    }
 
     /** Returns the state after one retry; null if the budget of [service] is used up. */
     public fun withdrawRetry(service: ServiceId, now: Instant): RetryState? = with(of(service)) {
         when (val limit = settings.limit) {
             RetryLimit.TokenBucket -> retries.withdraw()?.let { put(service, copy(retries = it)) }
-            is RetryLimit.Window -> withdrawFromWindow(service, limit, share = 1.0, now)
+            is RetryLimit.Window -> window.takeIf { it.allowsRetry(limit, now) }
+                ?.let { put(service, copy(window = it.countRetry(limit, now))) }
         }
     }
 
@@ -89,20 +93,12 @@
     public fun withdrawHedge(service: ServiceId, now: Instant): RetryState? = with(of(service)) {
         when (val limit = settings.limit) {
             RetryLimit.TokenBucket -> hedges.withdraw()?.let { put(service, copy(hedges = it)) }
-            is RetryLimit.Window -> withdrawFromWindow(service, limit, limit.hedgeShare, now)
+            is RetryLimit.Window ->
+                window.takeIf { it.allowsHedge(limit, limit.hedges.roundingFor(service), now) }
+                    ?.let { put(service, copy(window = it.countHedge(limit, now))) }
         }
     }
 
-    private fun withdrawFromWindow(
-        service: ServiceId,
-        limit: RetryLimit.Window,
-        share: Double,
-        now: Instant
-    ): RetryState? = with(of(service)) {
-        if (window.remaining(limit, share, now) < 1) return null
-        put(service, copy(window = window.countExtraAttempt(limit, now)))
-    }
-
     /** Records that the answer of a short operation of [service] began after [elapsed]. */
     public fun observeAnswerTime(service: ServiceId, elapsed: Duration): RetryState =
         when (val hedging = settings.hedging) {
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesFixture.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesFixture.kt
@@ -24,6 +24,7 @@
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.retry.HedgeLimit
 import org.wisteriahinge.core.retry.Hedging
 import org.wisteriahinge.core.retry.RetryLimit
 import org.wisteriahinge.core.retry.RetrySettings
@@ -73,7 +74,7 @@
             Duration.ofSeconds(10),
             ratio,
             baseAllowance = 0.0,
-            hedgeShare = 1.0
+            HedgeLimit(ratio = 1.0, budgetShare = 1.0, seed = 1)
         )
         val state = CallsState(
             Configuration.Empty,
--- a/core/src/test/kotlin/org/wisteriahinge/core/retry/RetryWindowTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/retry/RetryWindowTest.kt
@@ -18,12 +18,12 @@
         Duration.ofSeconds(10),
         0.2,
         baseAllowance = 1.0,
-        hedgeShare = 0.5
+        HedgeLimit(ratio = 1.0, budgetShare = 0.5, seed = 1)
     )
     private val empty = RetryState(RetrySettings(limit = limit))
 
     private fun requested(count: Int, at: Instant = start): RetryState =
-        (1..count).fold(empty) { state, _ -> state.callStarted(service, at) }
+        (1..count).fold(empty) { state, _ -> state.callStarted(service, isRepeatable = true, at) }
 
     private fun countRetries(state: RetryState, at: Instant): Int = generateSequence(state) {
         it.withdrawRetry(service, at)
@@ -57,7 +57,7 @@
             val burst = if (step / 500 % 2 == 0) 1 else 0
             val counted = (0 until burst).fold(state) { known, _ ->
                 requests.add(now)
-                known.callStarted(service, now)
+                known.callStarted(service, isRepeatable = true, now)
             }
             counted.withdrawRetry(service, now)?.also { repeats.add(now) } ?: counted
         }
