Start hedges by kind of request, and none in overload

Seen, in decision tests without a network: with kinds of requests of 80 ms and 20 ms behind the same targets, the 20 ms ones were hedged after a quantile of both. A hedge went to a target whose slots this instance's own requests used when its last report did not show them. With surveys, no queue shows a peak, and calls were hedged while half of the recent ones found no capacity, and while another call looked for a slot in the second round of its survey.

Change: the quantile of answer times is kept by operation. A target has a free slot only by its report and by this instance's own requests. A hedge is denied with `overloaded` above a share of 0.2 of recent calls without capacity, and with `calls_waiting` while a call of the service searches for capacity.

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -154,6 +154,7 @@
     WorkClass.Short -> copy(
         retries = retries.observeAnswerTime(
             call.matched.service.id,
+            call.matched.operation.id,
             Duration.between(inProgress.startedAt, now)
         )
     )
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -12,6 +12,10 @@
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.TargetChoice
 import org.wisteriahinge.core.routing.TargetRequest
+import org.wisteriahinge.core.survey.SurveyRound
+
+/** Share of recent calls that found no capacity above which slots are not used for hedges. */
+private const val MAX_FULL_SHARE = 0.2
 
 /** Starts a hedge, a parallel attempt, for each repeatable short call with a slow attempt. */
 internal fun CallsState.startHedges(now: Instant): CallsDecision = when (retries.settings.hedging) {
@@ -39,11 +43,12 @@
     state == AttemptState.Sent && attempt.path == AttemptPath.Direct
 
 /**
- * The service's quantile of answer times, but at most half of the operation's objective, because a
- * later hedge would miss it. Without enough observations, half of the objective.
+ * The operation's quantile of answer times, but at most half of its objective, because a later
+ * hedge would miss it. Without enough observations, half of the objective.
  */
 private fun CallsState.hedgeDelay(call: CallInProgress): Duration? {
-    val seen = retries.of(call.matched.service.id).answerTime?.takeIf { it.isReliable }?.value
+    val times = retries.of(call.matched.service.id).answerTimes
+    val seen = times[call.matched.operation.id]?.takeIf { it.isReliable }?.value
     val latest = call.matched.operation.bounds.objective?.dividedBy(2)
     return when {
         seen == null -> latest
@@ -75,7 +80,8 @@
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
-        shortCallsWait(service) -> RetryDenial.CallsWaiting
+        shortCallsWait(service) || callsSearchCapacity(service) -> RetryDenial.CallsWaiting
+        surveys.fullShare(service) > MAX_FULL_SHARE -> RetryDenial.Overloaded
         spent == null -> RetryDenial.BudgetSpent
         else -> when (destination) {
             Destination.None, is Destination.RateLimited -> RetryDenial.NoOtherTarget
@@ -112,12 +118,22 @@
     return request.copy(exclude = request.exclude.addAll(routing.rateLimits.byTarget.keys))
 }
 
-/** A hedge at a busy target delays other requests and rarely speeds up its own call. */
+/**
+ * A hedge at a busy target delays other requests and rarely speeds up its own call. Requests of
+ * this instance count even if the target's last report does not show them.
+ */
 private fun CallsState.hasFreeSlot(target: TargetId): Boolean {
-    val load = routing.targets[target]?.load ?: return true
-    return load.inFlight < load.slots
+    val view = routing.targets[target] ?: return false
+    val busy = maxOf(view.inFlight, view.load?.inFlight ?: 0)
+    return busy < (view.load?.slots ?: view.target.slots)
 }
 
 /** Whether a hedge would delay a queued call. Long calls are queued for other slots. */
 private fun CallsState.shortCallsWait(service: ServiceId): Boolean =
     (admission.services[service]?.short?.queue?.size ?: 0) > 0
+
+/** Whether a hedge could take the last slot from a call that found none in its first round. */
+private fun CallsState.callsSearchCapacity(service: ServiceId): Boolean =
+    surveys.open.any { (callId, survey) ->
+        survey.round == SurveyRound.Second && calls[callId]?.matched?.service?.id == service
+    }
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryReason.kt
@@ -43,6 +43,9 @@
     /** Other calls of the service are queued, or the target of the hedge has no free slot. */
     public data object CallsWaiting : RetryDenial("calls_waiting")
 
+    /** Many recent calls of the service found no target with capacity. */
+    public data object Overloaded : RetryDenial("overloaded")
+
     /** No target is available that was not tried before. */
     public data object NoOtherTarget : RetryDenial("no_other_target")
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
@@ -4,6 +4,7 @@
 import java.time.Instant
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.ServiceId
 
 /** Whether slow calls get a hedge: a second attempt in parallel to the first. */
@@ -47,11 +48,14 @@
     }
 }
 
-/** Retry and hedge budgets and answer times of one service at this instance. */
+/**
+ * Retry and hedge budgets of one service at this instance, and answer times by operation. Kinds of
+ * requests that share targets may differ several times in their answer times.
+ */
 public data class ServiceRetries(
     val retries: RetryBudget,
     val hedges: RetryBudget,
-    val answerTime: QuantileEstimate? = null,
+    val answerTimes: PersistentMap<OperationId, QuantileEstimate> = persistentHashMapOf(),
     val window: RetryWindow = RetryWindow()
 )
 
@@ -99,16 +103,19 @@
         }
     }
 
-    /** Records that the answer of a short operation of [service] began after [elapsed]. */
-    public fun observeAnswerTime(service: ServiceId, elapsed: Duration): RetryState =
-        when (val hedging = settings.hedging) {
-            Hedging.Off -> this
-            is Hedging.AfterQuantile -> with(of(service)) {
-                val estimate = answerTime?.observe(elapsed)
-                    ?: QuantileEstimate(hedging.quantile, elapsed)
-                put(service, copy(answerTime = estimate))
-            }
+    /** Records that an answer to the short [operation] of [service] began after [elapsed]. */
+    public fun observeAnswerTime(
+        service: ServiceId,
+        operation: OperationId,
+        elapsed: Duration
+    ): RetryState = when (val hedging = settings.hedging) {
+        Hedging.Off -> this
+        is Hedging.AfterQuantile -> with(of(service)) {
+            val estimate = answerTimes[operation]?.observe(elapsed)
+                ?: QuantileEstimate(hedging.quantile, elapsed)
+            put(service, copy(answerTimes = answerTimes.put(operation, estimate)))
         }
+    }
 
     private fun put(service: ServiceId, changed: ServiceRetries): RetryState =
         copy(services = services.put(service, changed))
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesFixture.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/OpenRoutesFixture.kt
@@ -54,6 +54,8 @@
     val routes = RouteTable.of(
         listOf(
             route("read", "/results/"),
+            route("slow", "/results/slow/"),
+            route("fast", "/results/fast/"),
             route("write", "/results/new/", Repeatability.OncePerRequest)
         )
     )
