Count attempts that hedges replaced in the quantile of answer times

Seen: with a third of the requests slow and each of them won by its hedge, the 0.9 quantile stayed at 20.7 ms, the time of the fast ones.

Cause: only answers were counted. An attempt that was cancelled because its hedge answered first left no trace, so that the quantile fell with each slow attempt and more requests than intended were hedged.

Change: a cancelled attempt counts with the time that it took so far, if that is longer than the quantile; its answer would have been later still.

Result: the new case of HedgeTest failed with 20.7 ms before and passes now. HedgeTest, RetryTest and OpenRoutesTest pass.

--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptActions.kt
@@ -52,11 +52,11 @@
 }
 
 private fun CallsState.cancelOthers(context: AttemptContext): CallsDecision {
-    val others = calls[context.callId]?.attempts?.keys.orEmpty() - context.attempt.id
-    return others.fold(CallsDecision(this)) { decision, other ->
-        decision.then {
-            it.stepAttempt(context.callId, other, AttemptTrigger.Abandoned, context.now)
-        }
+    val call = calls[context.callId] ?: return CallsDecision(this)
+    val others = call.attempts.remove(context.attempt.id)
+    return others.entries.fold(CallsDecision(this)) { decision, (id, other) ->
+        decision.update { it.observeCancelled(call, other, context.now) }
+            .then { it.stepAttempt(context.callId, id, AttemptTrigger.Abandoned, context.now) }
     }
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -18,6 +18,7 @@
 import org.wisteriahinge.core.quarantine.isPossibleAfter
 import org.wisteriahinge.core.quarantine.isSuspected
 import org.wisteriahinge.core.quarantine.refusalIfQuarantined
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.retry.RetryVerdict
 import org.wisteriahinge.core.routing.AttemptResult
 import org.wisteriahinge.core.routing.FailureAttribution
@@ -160,6 +161,19 @@
     )
 }
 
+/** Counts the time that [cancelled] took without an answer; see [RetryState.observeNoAnswer]. */
+internal fun CallsState.observeCancelled(
+    call: CallInProgress,
+    cancelled: AttemptInProgress,
+    now: Instant
+): CallsState = copy(
+    retries = retries.observeNoAnswer(
+        call.matched.service.id,
+        call.matched.operation.id,
+        Duration.between(cancelled.startedAt, now)
+    )
+)
+
 // An error answer is withheld only if another attempt is in progress or will certainly follow.
 private fun CallsState.canReplaceAnswer(
     call: CallInProgress,
--- a/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/retry/RetryState.kt
@@ -117,6 +117,20 @@
         }
     }
 
+    /**
+     * Records that an attempt was cancelled [elapsed] after its start without an answer. It counts
+     * if it took longer than the quantile: its answer would have been later still. Without these,
+     * the quantile would fall with each slow attempt that a hedge replaced.
+     */
+    public fun observeNoAnswer(
+        service: ServiceId,
+        operation: OperationId,
+        elapsed: Duration
+    ): RetryState {
+        val known = of(service).answerTimes[operation]?.value ?: return this
+        return if (elapsed > known) observeAnswerTime(service, operation, elapsed) else this
+    }
+
     private fun put(service: ServiceId, changed: ServiceRetries): RetryState =
         copy(services = services.put(service, changed))
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/HedgeTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/HedgeTest.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.core.call.OpenRoutesFixture.service
 import org.wisteriahinge.core.call.OpenRoutesFixture.start
 import org.wisteriahinge.core.model.CallId
+import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.retry.RetryDenial
 import org.wisteriahinge.core.survey.Survey
@@ -17,6 +18,7 @@
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
 
 /** Requests of each kind before the slow ones, enough for a quantile of its answer times. */
 private const val EARLIER = 100L
@@ -59,6 +61,22 @@
         expectThat(later.map { it.callId.value }).containsExactly(5_001)
     }
 
+    /** Load: each third request is slow, and its hedge answers first. */
+    @Test
+    fun `slow attempts that hedges replaced count in the quantile`() {
+        val harness = harness(TARGETS).answerEarlier(fast, millis = 20, firstId = 1)
+        (5_000L until 5_000 + EARLIER).forEach { id ->
+            val first = harness.sendNow(id, fast).forwarded.single()
+            val isSlow = id % 3 == 0L
+            val hedge = if (isSlow) harness.tickAfter(40).forwarded.singleOrNull() else null
+            harness.now += Duration.ofMillis(20)
+            harness.answer(id, hedge ?: first).complete(id, hedge ?: first)
+        }
+        val times = harness.state.retries.of(service).answerTimes
+        expectThat(times.getValue(OperationId("fast")).value)
+            .isGreaterThan(Duration.ofMillis(30))
+    }
+
     private fun CallsHarness.denials() =
         counters.filterIsInstance<CallCounter.HedgeDenied>().map { it.denial }
 
