--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -19,6 +19,7 @@
 import org.wisteriahinge.core.quarantine.isPossibleAfter
 import org.wisteriahinge.core.quarantine.isSuspected
 import org.wisteriahinge.core.quarantine.refusalIfQuarantined
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.retry.RetryVerdict
 import org.wisteriahinge.core.routing.AttemptResult
 import org.wisteriahinge.core.routing.FailureAttribution
@@ -62,7 +63,9 @@
 /** A call that was handed over counts towards the retry budget of the instance it came from. */
 private fun CallsState.countStart(call: CallInProgress, now: Instant): CallsState =
     if (call.request.handover == null) {
-        copy(retries = retries.callStarted(call.matched.service.id, now))
+        copy(
+            retries = retries.callStarted(call.matched.service.id, call.isRepeatable(), now)
+        )
     } else {
         this
     }
@@ -155,11 +158,25 @@
     WorkClass.Short -> copy(
         retries = retries.observeAnswerTime(
             call.matched.service.id,
+            call.matched.operation.id,
             Duration.between(inProgress.startedAt, now)
         )
     )
 }
 
+/** Counts the time that [cancelled] took without an answer; see [RetryState.observeNoAnswer]. */
+internal fun CallsState.observeCancelled(
+    call: CallInProgress,
+    cancelled: AttemptInProgress,
+    now: Instant
+): CallsState = copy(
+    retries = retries.observeNoAnswer(
+        call.matched.service.id,
+        call.matched.operation.id,
+        Duration.between(cancelled.startedAt, now)
+    )
+)
+
 // An error answer is withheld only if another attempt is in progress or will certainly follow.
 private fun CallsState.canReplaceAnswer(
     call: CallInProgress,
