--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
@@ -33,6 +33,7 @@
     maxCalls: Int = 100,
     startDuty: Boolean = true,
     listener: AnswerListener? = null,
+    private val configured: (Configuration) -> Configuration = { it },
     configure: (CallerServerSettings) -> CallerServerSettings = { it }
 ) : Closeable {
     private val hasher = CredentialHasher("key".encodeToByteArray())
@@ -82,6 +83,7 @@
     private fun configuration(): Configuration =
         readLists(ListTexts(customers(), entitlements()), RevisionNumber(1))
             .getOrThrow { IllegalStateException(it.toString()) }
+            .let(configured)
 
     private fun customers() = """
         format: 1
