Refuse API keys while the configuration is too old to tell which hold

A key that a configuration takes away went on working at an instance that could not read it: cut off, suspended, or just woken. Nothing limited for how long.

With revocation-bound-ms an instance accepts keys only while its configuration is younger than 0.9 of the bound, counted from the start of the read, and sends no request with a key after the whole bound. It refuses them as not run with configuration_too_old (503) and Retry-After, at arrival and where an attempt, a retry, a hedge or a handed-over call starts; public routes go on. The age is the larger of those on the steady clock, which a suspension may stop, and on the time of day, which may jump; a negative one is not believed. Each read tells the calls duty once as of when the configuration is known, after its changes; a configuration with a fault confirms nothing, as it may take keys away.

--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/relay/RelayPathTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/relay/RelayPathTest.kt
@@ -87,6 +87,18 @@
         }
     }
 
+    @Test
+    fun `a relay that is cut off never dates its records later than its last read`() {
+        val lastRead = followerTime.get()
+        repeat(7) {
+            relayTime.updateAndGet { it.plusMillis(200) }
+            followerTime.updateAndGet { it.plusMillis(200) }
+            listOf(relay.newest(TIMEOUT), relay.changes(end, Duration.ZERO, TIMEOUT)).forEach {
+                expectThat(it.get()?.currentAsOf).isNotNull().isLessThanOrEqualTo(lastRead)
+            }
+        }
+    }
+
     @Test
     fun `a read that waits ends when the relay has read the topic, although nothing changed`() {
         val read = CompletableFuture.supplyAsync { relay.changes(end, TIMEOUT, TIMEOUT) }
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -76,7 +76,14 @@
         ::perform
     )
     private val view = FrontView(settings, lifecycle, pipeline)
-    private val topics = FrontTopics(sources, settings.seed, clock, pipeline, view)
+    private val topics = FrontTopics(
+        sources,
+        settings.seed,
+        clock,
+        hasRevocationBound = settings.bounds.revocation != null,
+        pipeline,
+        view
+    )
     private val admin = AdminServer(
         AdminAddress(settings.ready.host, settings.ready.port, READY_PATH),
         view,
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.core.call.HeldCalls
 import org.wisteriahinge.core.handover.HandoverPolicy
 import org.wisteriahinge.core.handover.HandoverState
+import org.wisteriahinge.core.keys.KeyTrust
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.InstanceId
@@ -120,5 +121,6 @@
     held = HeldCalls(EarlyCallPolicy.Held(MAX_EARLY_CALL_WAIT)),
     handover = HandoverState(
         if (handover == null) HandoverPolicy.Off else HandoverPolicy.ToInstances(InstanceId(name))
-    )
+    ),
+    keyTrust = KeyTrust(bounds.revocation)
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -9,8 +9,10 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.directory.DirectoryRecord
 import org.wisteriahinge.core.directory.DirectoryState
+import org.wisteriahinge.core.keys.ClockReading
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.ListedTargets
+import org.wisteriahinge.core.model.RevisionNumber
 import org.wisteriahinge.core.watch.WatchUpdate
 import org.wisteriahinge.platform.DecodeException
 import org.wisteriahinge.platform.PlatformTopics
@@ -28,6 +30,7 @@
     sources: PlatformSources,
     seed: Long,
     private val clock: Clock,
+    private val hasRevocationBound: Boolean,
     private val pipeline: CallPipeline,
     private val view: FrontView
 ) : Closeable {
@@ -36,7 +39,8 @@
         seed,
         clock,
         ::decodeOperatorRecord,
-        ::onConfigurationUpdate
+        ::onConfigurationUpdate,
+        confirmed = ::onConfigurationConfirmed
     )
     private val targetsWatch = TopicWatchDuty(
         sources.targets,
@@ -50,6 +54,9 @@
     private var directory = DirectoryState()
     private var lastListing: ListedTargets? = null
 
+    // Accessed only on the thread of configurationWatch.
+    private var isNewestUsable = true
+
     /** The duties that follow topics here. */
     val watches: PersistentList<TopicWatchDuty<*>> =
         persistentListOf(configurationWatch, targetsWatch)
@@ -63,9 +70,10 @@
         val value = record.value
         if (record.key != PlatformTopics.CONFIGURATION_KEY || value == null) return null
         return try {
-            decodeConfiguration(value)
+            decodeConfiguration(value).also { isNewestUsable = true }
         } catch (e: DecodeException) {
             logger.error { "configuration at ${record.position} is not used: ${e.message}" }
+            isNewestUsable = false
             null
         }
     }
@@ -84,6 +92,12 @@
         }
     }
 
+    /** Keys that a configuration takes away which cannot be used here would be accepted on. */
+    private fun onConfigurationConfirmed(moment: ClockReading) {
+        if (!hasRevocationBound || !isNewestUsable || view.revision == RevisionNumber.None) return
+        pipeline.offerBlocking(CallEvent.ConfigurationConfirmed(moment))
+    }
+
     private fun applyConfiguration(next: Configuration) {
         if (next.revision <= view.revision) return
         pipeline.offerBlocking(CallEvent.Configured(next))
--- a/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
@@ -35,7 +35,7 @@
 )
 
 private class TopicPlans(bounds: PropagationBounds) {
-    val configuration = waiting("configuration", PlatformTopics.OPERATOR, bounds.configuration)
+    val configuration = waiting("configuration", PlatformTopics.OPERATOR, bounds.configurationReads)
     val targets = polling("targets", PlatformTopics.TARGETS, bounds.targets)
     val crashes = waiting("crashes", PlatformTopics.CRASHES, bounds.crashes)
     val instances =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -34,7 +34,9 @@
     handover = get(Settings.handoverAddress).takeIf { it.isNotEmpty() }?.let(::address),
     bounds = PropagationBounds(
         configuration = millis(Settings.configurationBoundMillis),
-        targets = millis(Settings.drainBoundMillis)
+        targets = millis(Settings.drainBoundMillis),
+        revocation = get(Settings.revocationBoundMillis).takeIf { it.isNotEmpty() }
+            ?.let { millis(Settings.revocationBoundMillis) }
     )
 )
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -182,6 +182,12 @@
         "2000",
         "Time in which every instance knows that a target drains, after the store accepted it"
     )
+    val revocationBoundMillis = SettingSpec(
+        "revocation-bound-ms",
+        SettingKind.Decimal("ms", 1_000.0, 600_000.0),
+        "",
+        "Time after which no instance accepts a key that a configuration took away; empty for none"
+    )
     val graceSeconds = SettingSpec(
         "grace-time-s",
         SettingKind.Decimal("s", 0.5, 3_600.0),
@@ -241,6 +247,7 @@
         storePartitions,
         configurationBoundMillis,
         drainBoundMillis,
+        revocationBoundMillis,
         graceSeconds,
         retryRatio,
         retryWindowSeconds,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptDecide.kt
@@ -44,7 +44,7 @@
 internal fun CallsState.startAttempt(call: CallInProgress, now: Instant): CallsDecision {
     // A call that waited for a target may have been quarantined since it arrived.
     refusalIfQuarantined(call, now)?.let { return refuse(call.request.callId, it, now) }
-    identityOf(call).getError()?.let { return refuse(call.request.callId, it.refusal(), now) }
+    identityOf(call, now).getError()?.let { return refuse(call.request.callId, it.refusal(), now) }
     val service = call.matched.service.id
     val started = countStart(call, now).acquirePermit(call, now)
     return when (val destination = chooseDestination(call, now)) {
@@ -73,6 +73,7 @@
     choice: TargetChoice.Chosen,
     now: Instant
 ): CallsDecision {
+    val identity = identityOrAnonymous(call, now)
     val attempt = Attempt(
         id = AttemptId(lastAttemptId + 1),
         number = call.attemptsStarted + 1,
@@ -80,8 +81,8 @@
         deadline = call.request.deadline,
         noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed,
         isRepeatable = call.isRepeatable(),
-        sendBy = sendBy(choice.target.id, now),
-        identity = identityOrAnonymous(call)
+        sendBy = earliest(sendBy(choice.target.id, now), keySendBy(call, identity, now)),
+        identity = identity
     )
     val passedOver = routing.withoutPermit(routeRequest(call, now), now).size
     val step =
@@ -90,6 +91,8 @@
         .countPassedOver(call.matched.service.id, passedOver)
 }
 
+private fun earliest(vararg moments: Instant?): Instant? = moments.filterNotNull().minOrNull()
+
 /** Records the start of [attempt] and sends it. */
 internal fun CallsState.launch(
     call: CallInProgress,
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/AttemptRetry.kt
@@ -70,7 +70,7 @@
     cause.isTimeout() || now + MIN_TIME_FOR_ATTEMPT >= call.request.deadline ->
         RetryDenial.DeadlineTooClose
     isQuarantined(call, now) -> RetryDenial.Suspected
-    identityOf(call).isErr -> RetryDenial.KeyNotAccepted
+    identityOf(call, now).isErr -> RetryDenial.KeyNotAccepted
     else -> null
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,8 +1,10 @@
 package org.wisteriahinge.core.call
 
+import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import org.wisteriahinge.core.handover.PeerInstance
+import org.wisteriahinge.core.keys.ClockReading
 import org.wisteriahinge.core.limits.UsableShares
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
@@ -69,6 +71,9 @@
     /** A new revision of the operators' lists came into force. */
     public data class Configured(val configuration: Configuration) : DutyDecision
 
+    /** The configuration in force, and no newer one, was in the store at [moment]. */
+    public data class ConfigurationConfirmed(val moment: ClockReading) : DutyDecision
+
     /** The registry listed the targets of all services; replaces those of the operators' lists. */
     public data class TargetsListed(val targets: ListedTargets) : DutyDecision
 
@@ -123,6 +128,9 @@
     public data class MembersChanged(val self: InstanceId, val live: PersistentSet<InstanceId>) :
         CallEvent
 
+    /** The time of day is ahead of the steady clock by [timeOfDayLead]. */
+    public data class ClocksCompared(val timeOfDayLead: Duration) : CallEvent
+
     /** Periodic tick that triggers time-based work: timeouts, queued calls, hedges and probes. */
     public data object Ticked : CallEvent
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHandover.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHandover.kt
@@ -78,7 +78,7 @@
 ): CallsDecision {
     val service = call.matched.service.id
     val peer = destination.peer
-    val identity = identityOrAnonymous(call)
+    val identity = identityOrAnonymous(call, now)
     val attempt = Attempt(
         id = AttemptId(lastAttemptId + 1),
         number = call.attemptsStarted + 1,
@@ -86,6 +86,7 @@
         deadline = call.request.deadline,
         noRetry = call.attemptsStarted > 0 || !call.request.retriesAllowed,
         isRepeatable = call.isRepeatable(),
+        sendBy = keySendBy(call, identity, now),
         path = AttemptPath.ThroughInstance(peer, call.handedOver(destination.self, identity)),
         identity = identity
     )
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -75,7 +75,7 @@
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
-        identityOf(call).isErr -> RetryDenial.KeyNotAccepted
+        identityOf(call, now).isErr -> RetryDenial.KeyNotAccepted
         shortCallsWait(service) -> RetryDenial.CallsWaiting
         spent == null -> RetryDenial.BudgetSpent
         else -> when (destination) {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -26,6 +26,9 @@
 /** Retry delay of [RefusalReason.NotReady]: an instance reads its first configuration within it. */
 private val RETRY_AFTER_NOT_READY: Duration = Duration.ofMillis(300)
 
+/** Retry delay of [RefusalReason.ConfigurationTooOld]; callers retry at other instances. */
+private val RETRY_AFTER_TOO_OLD: Duration = Duration.ofMillis(250)
+
 /** Decides on [event] at [now]. A pure function: it reads no clock and performs no I/O. */
 public fun CallsState.decide(event: CallEvent, now: Instant): CallsDecision =
     observeStatement(event, now)
@@ -48,6 +51,8 @@
         CallsDecision(copy(routing = routing.peerReported(event.loads, now)))
     is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.DutyDecision -> onDutyDecision(event, now)
+    is CallEvent.ClocksCompared ->
+        CallsDecision(copy(keyTrust = keyTrust.copy(timeOfDayLead = event.timeOfDayLead)))
     CallEvent.Ticked -> ticked(now)
 }
 
@@ -73,6 +78,9 @@
     when (event) {
         is CallEvent.Configured ->
             configured(event.configuration).then { it.releaseHeld(now) }
+        is CallEvent.ConfigurationConfirmed ->
+            CallsDecision(copy(keyTrust = keyTrust.confirmed(event.moment)))
+                .then { it.releaseHeld(now) }
         is CallEvent.TargetsListed ->
             targetsListed(event.targets).then { it.releaseHeld(now) }
         is CallEvent.ClaimSettled -> claimSettled(event, now)
@@ -128,7 +136,11 @@
     )
 
 internal fun RefusalReason.refusal(): Refusal {
-    val retryAfter = RETRY_AFTER_NOT_READY.takeIf { this == RefusalReason.NotReady }
+    val retryAfter = when {
+        this == RefusalReason.NotReady -> RETRY_AFTER_NOT_READY
+        this == RefusalReason.ConfigurationTooOld -> RETRY_AFTER_TOO_OLD
+        else -> null
+    }
     return Refusal(this, Execution.NotRun, retryAfter)
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -9,6 +9,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.admission.AdmissionState
 import org.wisteriahinge.core.handover.HandoverState
+import org.wisteriahinge.core.keys.KeyTrust
 import org.wisteriahinge.core.limits.CallLimits
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
@@ -70,6 +71,7 @@
  * @property mostUrgent the rank of the most urgent calls of each service
  * @property held the calls that arrived before the instance could serve them
  * @property handover the paths to the targets, and the instances that may have others
+ * @property keyTrust whether the configuration is young enough to tell which API keys are accepted
  */
 public data class CallsState(
     val configuration: Configuration,
@@ -85,7 +87,8 @@
     val listed: ListedTargets? = null,
     val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
     val held: HeldCalls = HeldCalls(),
-    val handover: HandoverState = HandoverState()
+    val handover: HandoverState = HandoverState(),
+    val keyTrust: KeyTrust = KeyTrust()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/HeldCalls.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/HeldCalls.kt
@@ -39,9 +39,10 @@
     internal fun without(callId: CallId): HeldCalls = copy(byId = byId.remove(callId))
 }
 
-/** Whether a configuration and a non-empty list of targets are known. */
+/** Whether a configuration, its age if it matters and a non-empty list of targets are known. */
 private fun CallsState.isReadyToServe(): Boolean = configuration.revision > RevisionNumber.None &&
-    listed?.byService?.isNotEmpty() == true
+    listed?.byService?.isNotEmpty() == true &&
+    (keyTrust.revocationBound == null || keyTrust.confirmedAt != null)
 
 /** Holds [request]; null if it is to be decided on now. */
 internal fun CallsState.holdUntilReady(request: CallRequest, now: Instant): CallsDecision? =
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/OpenRoutes.kt
@@ -75,7 +75,7 @@
     request: CallRequest,
     route: Route,
     now: Instant
-): CallsDecision = configuration.customerOf(request, route).mapBoth(
+): CallsDecision = customerOf(request, route, now).mapBoth(
     success = { customer -> arriveOpen(request, route, customer, now) },
     failure = { reason -> refuseOnArrival(request, reason.refusal(), now) }
 )
@@ -129,7 +129,7 @@
     now: Instant
 ): CallsDecision {
     val service = configuration.entitlements.services[handover.service]
-    val refusal = undecidedKeyRefusal(request, handover) ?: when {
+    val refusal = undecidedKeyRefusal(request, handover, now) ?: when {
         service == null -> RefusalReason.NoTarget
         calls.values.count { it.request.handover != null } >= MAX_HANDED_OVER_CALLS ->
             RefusalReason.InstanceOverloaded
@@ -158,11 +158,12 @@
 /** Senders of versions that know no API keys have not checked the key of [request]. */
 private fun CallsState.undecidedKeyRefusal(
     request: CallRequest,
-    handover: HandedOverCall
+    handover: HandedOverCall,
+    now: Instant
 ): RefusalReason? = when (handover.identity) {
     is ForwardedIdentity.OfCustomer, ForwardedIdentity.Anonymous -> null
     ForwardedIdentity.AsSent ->
-        configuration.customerOf(request, configuration.routeOf(request)).getError()
+        customerOf(request, configuration.routeOf(request), now).getError()
 }
 
 /**
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/TargetStatements.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/TargetStatements.kt
@@ -27,6 +27,7 @@
         is CallEvent.PeerLoads,
         is CallEvent.MembersChanged,
         is CallEvent.DutyDecision,
+        is CallEvent.ClocksCompared,
         CallEvent.Ticked -> CallsDecision(this)
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/handover/PathObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/handover/PathObservation.kt
@@ -40,6 +40,7 @@
     is CallEvent.PeerLoads,
     is CallEvent.MembersChanged,
     is CallEvent.DutyDecision,
+    is CallEvent.ClocksCompared,
     CallEvent.Ticked -> CallsDecision(this)
 }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
@@ -224,6 +224,13 @@
         "Send the request again after the stated delay."
     )
 
+    public data object ConfigurationTooOld : RefusalReason(
+        "configuration_too_old",
+        503,
+        "This instance cannot tell which keys are accepted",
+        "Send the request again after the time in Retry-After."
+    )
+
     public data object NoTarget : RefusalReason(
         "no_target",
         503,
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/KeyedCallsTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/KeyedCallsTest.kt
@@ -11,6 +11,8 @@
 import org.wisteriahinge.core.handover.HandoverPolicy
 import org.wisteriahinge.core.handover.HandoverState
 import org.wisteriahinge.core.handover.PeerInstance
+import org.wisteriahinge.core.keys.ClockReading
+import org.wisteriahinge.core.keys.KeyTrust
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.CallBounds
 import org.wisteriahinge.core.model.Configuration
@@ -33,13 +35,15 @@
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 
 private const val READ = "/results/7"
 private const val PUBLIC = "/results/new/7"
 private val KEY = KeyHash.of("key-of-large")
 private val LARGE = CustomerId("large")
 
-/** Guards against requests that run without a key, and against keys or names that reach targets wrongly. */
+/** Guards against requests that run without a key, and against keys that reach targets. */
 class KeyedCallsTest {
     private fun customer(name: String, key: String, priority: Int? = null) = CustomerId(name) to
         KeyedCustomer(CustomerId(name), persistentSetOf(KeyHash.of(key)), priority)
@@ -182,4 +186,59 @@
         val sent = harness().send(request(1).copy(handover = unchecked))
         expectThat(sent.identity).isEqualTo(ForwardedIdentity.OfCustomer(LARGE))
     }
+
+    private fun trusting(keyed: KeyedCustomers? = both): CallsHarness {
+        val harness = harness(keyed)
+        harness.state = harness.state.copy(keyTrust = KeyTrust(Duration.ofSeconds(5)))
+        return harness.handle(CallEvent.ClocksCompared(Duration.ZERO)).confirm()
+    }
+
+    private fun CallsHarness.confirm() =
+        handle(CallEvent.ConfigurationConfirmed(ClockReading(now, now)))
+
+    private fun CallsHarness.fresh(id: Long, path: String = READ, key: KeyHash? = KEY) =
+        request(id, path, key).copy(arrivedAt = now, deadline = now + Duration.ofSeconds(2))
+
+    @Test
+    fun `an instance that lost the store refuses keys at once and serves public routes`() {
+        val harness = trusting()
+        harness.now += Duration.ofMillis(4_400)
+        harness.send(harness.fresh(1))
+        harness.now += Duration.ofMillis(200)
+        listOf(KEY, KeyHash.of("other")).forEachIndexed { index, key ->
+            val refusal = harness.arriveOpen(harness.fresh(2L + index, key = key)).refusals.single()
+            expectThat(refusal.reason).isEqualTo(RefusalReason.ConfigurationTooOld)
+            expectThat(refusal.execution).isEqualTo(Execution.NotRun)
+            expectThat(refusal.retryAfter).isNotNull()
+        }
+        harness.send(harness.fresh(4, PUBLIC, key = null))
+        harness.confirm().send(harness.fresh(5))
+    }
+
+    @Test
+    fun `no attempt starts with a key whose configuration became too old meanwhile`() {
+        val retried = trusting()
+        retried.now += Duration.ofSeconds(4)
+        val first = retried.send(retried.fresh(1))
+        retried.now += Duration.ofMillis(600)
+        retried.fail(1, first, AttemptFailure.ConnectFailed)
+        expectThat(retried.forwarded).isEmpty()
+        expectThat(retried.refusals.single().execution).isEqualTo(Execution.NotRun)
+
+        val hedged = trusting()
+        hedged.now += Duration.ofMillis(4_450)
+        hedged.send(hedged.fresh(1))
+        hedged.now += Duration.ofMillis(200)
+        hedged.handle(CallEvent.Ticked)
+        expectThat(hedged.forwarded).isEmpty()
+    }
+
+    @Test
+    fun `an attempt with a key must be sent within the bound`() {
+        val harness = trusting()
+        val confirmedAt = harness.now
+        harness.now += Duration.ofSeconds(3)
+        expectThat(harness.send(harness.fresh(1)).sendBy).isEqualTo(confirmedAt.plusSeconds(5))
+        expectThat(harness.send(harness.fresh(2, PUBLIC, key = null)).sendBy).isNull()
+    }
 }
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/CallsDuty.kt
@@ -41,7 +41,8 @@
     private val inbox: Ring<CallMessage>,
     private var state: CallsState,
     private val effects: EffectSink<CallEffect>,
-    private val clock: Clock
+    private val clock: Clock,
+    private val timeOfDay: Clock = Clock.systemUTC()
 ) : Duty("calls") {
     private var ports: PersistentMap<CallId, CallPort> = persistentHashMapOf()
 
@@ -60,6 +61,7 @@
             ports = ports.put(event.request.callId, message.port)
         }
         val now = clock.instant()
+        compareClocks(now)
         // Holds if the decision fails, so that messages are handled before the tick is repeated.
         if (event == CallEvent.Ticked) dueAt = now + FAILED_TICK_PAUSE
         val decision = decideOrRefuse(event, now)
@@ -69,6 +71,16 @@
         decision.effects.forEach(::perform)
     }
 
+    /** Each message may be the first one after the machine was suspended or its time was set. */
+    private fun compareClocks(now: Instant) {
+        if (state.keyTrust.revocationBound == null) return
+        val lead = Duration.between(now, timeOfDay.instant())
+        if (!state.keyTrust.isOutdatedBy(lead)) return
+        val decision = state.decide(CallEvent.ClocksCompared(lead), now)
+        state = decision.state
+        decision.effects.forEach(::perform)
+    }
+
     /** A call whose arrival cannot be decided on was not sent; its caller is told at once. */
     private fun decideOrRefuse(event: CallEvent, now: Instant): CallsDecision = try {
         state.decide(event, now)
--- a/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
+++ b/runtime/src/main/kotlin/org/wisteriahinge/runtime/TopicWatchDuty.kt
@@ -6,6 +6,7 @@
 import java.time.Duration
 import java.time.Instant
 import kotlinx.collections.immutable.toPersistentList
+import org.wisteriahinge.core.keys.ClockReading
 import org.wisteriahinge.core.watch.TopicSource
 import org.wisteriahinge.core.watch.WatchEvent
 import org.wisteriahinge.core.watch.WatchRead
@@ -17,18 +18,22 @@
 /**
  * Reads [topic] continuously and passes decoded changes to [listener] on the duty's thread.
  *
- * [decode] returns null for a record to be skipped.
+ * [decode] returns null for a record to be skipped. After each read that shows the records to be
+ * current as of a later moment, [confirmed] gets this moment, after the changes.
  */
 public class TopicWatchDuty<R : Any>(
     private val topic: FollowedTopic,
     seed: Long,
     private val clock: Clock,
     private val decode: (KeyedRecord) -> R?,
-    private val listener: (WatchUpdate<R>) -> Unit
+    private val listener: (WatchUpdate<R>) -> Unit,
+    private val timeOfDay: Clock = Clock.systemUTC(),
+    private val confirmed: (ClockReading) -> Unit = { }
 ) : Duty("watch-${topic.name}") {
     @Volatile
     private var state = WatchState(topic.timing, seed, topic.choice)
     private var lastSource: TopicSource? = null
+    private var readStartedAt = ClockReading(Instant.EPOCH, Instant.EPOCH)
 
     /** The name of the topic. */
     public val topicName: String get() = topic.name
@@ -50,9 +55,13 @@
     }
 
     override fun runOnce() {
-        val decision = state.decide(nextEvent(), clock.instant())
+        val event = nextEvent()
+        val before = state.currentAsOf
+        val decision = state.decide(event, clock.instant())
         state = decision.state
         decision.updates.forEach(listener)
+        val after = state.currentAsOf
+        if (after != null && after != before) confirmed(readStartedAt.at(after))
     }
 
     private fun nextEvent(): WatchEvent<R> {
@@ -61,6 +70,7 @@
         return try {
             sleepUntil(state.nextReadAt)
             val startedAt = clock.instant()
+            readStartedAt = ClockReading(startedAt, timeOfDay.instant())
             val read = state.nextRead(startedAt)
             source = read.source
             logChange(source, startedAt)
