--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -11,8 +11,10 @@
 import org.wisteriahinge.core.directory.DirectoryState
 import org.wisteriahinge.core.directory.Evacuations
 import org.wisteriahinge.core.directory.OperatorRecord
+import org.wisteriahinge.core.keys.ClockReading
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.ListedTargets
+import org.wisteriahinge.core.model.RevisionNumber
 import org.wisteriahinge.core.watch.WatchUpdate
 import org.wisteriahinge.platform.DecodeException
 import org.wisteriahinge.platform.PlatformTopics
@@ -30,6 +32,7 @@
     sources: PlatformSources,
     seed: Long,
     private val clock: Clock,
+    private val hasRevocationBound: Boolean,
     private val pipeline: CallPipeline,
     private val view: FrontView
 ) : Closeable {
@@ -38,7 +41,8 @@
         seed,
         clock,
         ::decodeOperatorRecord,
-        ::onOperatorUpdate
+        ::onOperatorUpdate,
+        confirmed = ::onConfigurationConfirmed
     )
     private val targetsWatch = TopicWatchDuty(
         sources.targets,
@@ -55,6 +59,9 @@
     private var directory = DirectoryState()
     private var lastListing: ListedTargets? = null
 
+    // Accessed only on the thread of configurationWatch.
+    private var isNewestUsable = true
+
     /** The duties that follow topics here. */
     val watches: PersistentList<TopicWatchDuty<*>> =
         persistentListOf(configurationWatch, targetsWatch)
@@ -80,9 +87,10 @@
         record: KeyedRecord,
         value: ByteArray
     ): OperatorRecord? = try {
-        OperatorRecord.Configured(decodeConfiguration(value))
+        OperatorRecord.Configured(decodeConfiguration(value)).also { isNewestUsable = true }
     } catch (e: DecodeException) {
         logger.error { "configuration at ${record.position} is not used: ${e.message}" }
+        isNewestUsable = false
         null
     }
 
@@ -115,6 +123,12 @@
             .forEach { applyConfiguration(it.configuration) }
     }
 
+    /** Keys that a configuration takes away which cannot be used here would be accepted on. */
+    private fun onConfigurationConfirmed(moment: ClockReading) {
+        if (!hasRevocationBound || !isNewestUsable || view.revision == RevisionNumber.None) return
+        pipeline.offerBlocking(CallEvent.ConfigurationConfirmed(moment))
+    }
+
     private fun applyConfiguration(next: Configuration) {
         if (next.revision <= view.revision) return
         pipeline.offerBlocking(CallEvent.Configured(next))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -80,7 +80,7 @@
     val denial = when {
         !call.request.retriesAllowed -> RetryDenial.OuterLayerRetries
         isSuspected(call, now) -> RetryDenial.Suspected
-        identityOf(call).isErr -> RetryDenial.KeyNotAccepted
+        identityOf(call, now).isErr -> RetryDenial.KeyNotAccepted
         shortCallsWait(service) || callsSearchCapacity(service) -> RetryDenial.CallsWaiting
         surveys.fullShare(service) > MAX_FULL_SHARE -> RetryDenial.Overloaded
         spent == null -> RetryDenial.BudgetSpent
