--- a/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/soak/SoakInstance.kt
@@ -7,6 +7,8 @@
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.wisteriahinge.core.model.Address
 
 private const val MAIN_CLASS = "org.wisteriahinge.app.MainKt"
@@ -26,11 +28,19 @@
 /** Result of a SIGTERM; [exitCode] is null if the process did not exit within the grace time. */
 internal data class Stopped(val exitCode: Int?, val took: Duration)
 
+/** Heap and open files of an instance's process, and settings in its [environment]. */
+internal data class ProcessLimits(
+    val heapMib: Int = 128,
+    val descriptors: Int = 4_100,
+    val environment: PersistentMap<String, String> = persistentMapOf()
+)
+
 /** An instance that runs as a child process. Signals go only to this process. */
 internal class SoakInstance(
     private val name: String,
     private val addresses: SoakAddresses,
-    private val log: File
+    private val log: File,
+    private val limits: ProcessLimits = ProcessLimits()
 ) {
     @Volatile
     private var process: Process = launch()
@@ -51,7 +61,10 @@
 
     private fun launch(): Process {
         val java = File(System.getProperty("java.home"), "bin/java").path
-        val options = listOf("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+        val options =
+            listOf("-Xmx${limits.heapMib}m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+        // The shell replaces itself, so that signals reach the instance.
+        val shell = listOf("sh", "-c", "ulimit -n ${limits.descriptors}; exec \"$@\"", "sh")
         val program = listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "front")
         val settings = listOf(
             "--zone" to "a",
@@ -64,7 +77,8 @@
             "--relays" to addresses.relays.joinToString(","),
             "--grace-time-s" to GRACE_SECONDS.toString()
         ).flatMap { (flag, value) -> listOf(flag, value) }
-        return ProcessBuilder(listOf(java) + options + program + settings)
+        return ProcessBuilder(shell + java + options + program + settings)
+            .apply { environment().putAll(limits.environment) }
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
             .start()
