Close clients that do not read their answers

A connection on which nothing of an answer is taken for answer-read-timeout-s (30 s) is closed and counted as answer_not_read.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/AnswerWriter.kt
@@ -90,6 +90,7 @@
         client.answerWritten(piece.size)
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(piece)))
             .addListener { client.answerRead(piece.size) }
+        if (!channel.isWritable) client.awaitReading()
     }
 
     fun writeEnd(onWritten: (Boolean) -> Unit) {
@@ -148,12 +149,14 @@
         isCommitted = true
         val bytes = response.content().readableBytes()
         client.answerWritten(bytes)
-        channel.writeAndFlush(response).addListener(
+        val written = channel.writeAndFlush(response)
+        written.addListener(
             ChannelFutureListener {
                 client.answerRead(bytes)
                 onWritten(it.isSuccess)
             }
         )
+        if (!written.isDone) client.awaitReading()
     }
 
     private fun retryAfterSeconds(delay: Duration): String =
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/clients/ClientRegistry.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/clients/ClientRegistry.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.Channel
 import java.time.Clock
+import java.time.Duration
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.call.CallCounter
@@ -109,6 +110,9 @@
         client.heldBytes = 0
     }
 
+    /** The longest time for which a client may take nothing of its answer. */
+    internal val answerReadTimeout: Duration get() = limits.answerReadTimeout
+
     /** Counts and logs that [client] is closed for [reason]. */
     internal fun closed(client: TrackedClient, reason: ClientClosing) {
         counters.perform(CallCounter.ClientClosed(client.address, reason))
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/clients/TrackedClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/clients/TrackedClient.kt
@@ -1,8 +1,10 @@
 package org.wisteriahinge.adapters.clients
 
 import io.netty.channel.Channel
+import java.util.concurrent.TimeUnit
 import org.wisteriahinge.core.clients.ClientActivity
 import org.wisteriahinge.core.clients.ClientAddress
+import org.wisteriahinge.core.clients.ClientClosing
 import org.wisteriahinge.core.clients.ClientId
 import org.wisteriahinge.core.clients.ClientState
 
@@ -16,6 +18,7 @@
     private var progressNanos = System.nanoTime()
     private var unreadAnswerBytes = 0L
     private var headBytes = 0L
+    private var isReadingAwaited = false
 
     /** Changed by the registry only. */
     var heldBytes: Long = 0
@@ -69,6 +72,29 @@
         progressed()
     }
 
+    /** Closes the connection if the client takes nothing of its answer for too long. */
+    fun awaitReading() {
+        if (isReadingAwaited) return
+        isReadingAwaited = true
+        scheduleCheck(registry.answerReadTimeout.toNanos())
+    }
+
+    private fun scheduleCheck(delayNanos: Long) {
+        channel.eventLoop().schedule(::checkReading, delayNanos, TimeUnit.NANOSECONDS)
+    }
+
+    private fun checkReading() {
+        isReadingAwaited = unreadAnswerBytes > 0 && channel.isActive
+        if (!isReadingAwaited) return
+        val leftNanos = progressNanos + registry.answerReadTimeout.toNanos() - System.nanoTime()
+        if (leftNanos > 0) {
+            scheduleCheck(leftNanos)
+        } else {
+            registry.closed(this, ClientClosing.AnswerNotRead)
+            channel.close()
+        }
+    }
+
     /** Releases the head of the request that was answered; another one may follow. */
     fun requestEnded() {
         release(headBytes)
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
@@ -83,6 +83,7 @@
             client.answerRead(answer.body.size)
             onWritten()
         }
+        if (!written.isDone) client.awaitReading()
         if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
     }
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerFixture.kt
@@ -7,11 +7,13 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.clients.ClientRegistry
 import org.wisteriahinge.adapters.lists.readLists
 import org.wisteriahinge.core.call.CallCounter
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
+import org.wisteriahinge.core.clients.ClientLimits
 import org.wisteriahinge.core.configuration.ListTexts
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.RevisionNumber
@@ -33,6 +35,7 @@
     maxCalls: Int = 100,
     startDuty: Boolean = true,
     listener: AnswerListener? = null,
+    clients: ClientLimits = ClientLimits(),
     configure: (CallerServerSettings) -> CallerServerSettings = { it }
 ) : Closeable {
     private val hasher = CredentialHasher("key".encodeToByteArray())
@@ -51,7 +54,8 @@
             Clock.systemUTC(),
             { counted.add(it) },
             { ended.add(it) },
-            listener
+            listener,
+            clients = ClientRegistry(clients, Clock.systemUTC()) { counted.add(it) }
         )
     )
     val port: Int
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerRefusalTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/CallerRefusalTest.kt
@@ -22,17 +22,18 @@
 private const val OLD_KEY = "3f2504e0-4f89-41d3-9a0c-0305e82c3301"
 private const val KEY = "01890a5d-ac96-774b-bcce-b302099a8057"
 
+/** Asserts a problem document that says that the request was not run. */
+internal fun Assertion.Builder<RawMessage?>.isRefusal(status: Int, reason: String) =
+    isNotNull().and {
+        get { this.status }.isEqualTo(status)
+        get { header("Content-Type").orEmpty() }.contains("application/problem+json")
+        get { text }.contains("urn:wisteriahinge:refusal:$reason\"")
+        get { text }.contains("\"not_run\"")
+    }
+
 /** Guards against invalid requests being forwarded, or refused without a usable reason. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class CallerRefusalTest {
-    private fun Assertion.Builder<RawMessage?>.isRefusal(status: Int, reason: String) =
-        isNotNull().and {
-            get { this.status }.isEqualTo(status)
-            get { header("Content-Type").orEmpty() }.contains("application/problem+json")
-            get { text }.contains("urn:wisteriahinge:refusal:$reason\"")
-            get { text }.contains("\"not_run\"")
-        }
-
     private fun post(headers: String, body: String = "") =
         "POST /bookings HTTP/1.1\r\nHost: lb\r\n$AUTHORIZATION$headers\r\n$body"
 
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/FrontSettingsReader.kt
@@ -44,7 +44,8 @@
 internal fun SettingValues.toClientLimits(): ClientLimits = ClientLimits(
     maxDescriptors = int(Settings.maxDescriptors),
     memoryBytes =
-    (Runtime.getRuntime().maxMemory() * get(Settings.clientMemoryShare).toDouble()).toLong()
+    (Runtime.getRuntime().maxMemory() * get(Settings.clientMemoryShare).toDouble()).toLong(),
+    answerReadTimeout = Duration.ofSeconds(long(Settings.answerReadTimeoutSeconds))
 )
 
 private fun address(text: String): Address =
--- a/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/settings/SettingSpec.kt
@@ -117,6 +117,12 @@
         "0.35",
         "Memory for all that clients hold: connections, heads, bodies and unread answers"
     )
+    val answerReadTimeoutSeconds = SettingSpec(
+        "answer-read-timeout-s",
+        SettingKind.Whole("s", 1, 3_600),
+        "30",
+        "Longest time for which a client may take nothing of its answer"
+    )
     val maxBodyBytes = SettingSpec(
         "max-body-bytes",
         SettingKind.Whole("B", 0, 1_099_511_627_776),
@@ -236,6 +242,7 @@
         maxBodyBytes,
         maxDescriptors,
         clientMemoryShare,
+        answerReadTimeoutSeconds,
         onceWindowSeconds,
         onceAppendsPerSecond,
         credentialKey,
@@ -262,7 +269,8 @@
         maxTimeoutMillis,
         bodyMemoryBytes,
         maxDescriptors,
-        clientMemoryShare
+        clientMemoryShare,
+        answerReadTimeoutSeconds
     )
 
     /** The settings of commands that read or write the log. */
