--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/caller/ReceivedHead.kt
@@ -54,9 +54,7 @@
     }
 
     private fun callRequest(body: RequestBody, callerRequestId: String?): CallRequest {
-        val settings = services.settings
         val authorization = headers[HttpHeaderNames.AUTHORIZATION]
-        val timeout = minOf(head.timeout ?: settings.defaultTimeout, settings.maxTimeout)
         return CallRequest(
             callId = callId,
             credential = services.dialect.credentialIn(authorization),
@@ -64,7 +62,7 @@
             path = head.target,
             idempotencyKey = head.idempotencyKey,
             digest = services.dialect.digestOf(authorization, body),
-            deadline = arrivedAt + timeout,
+            deadline = arrivedAt + services.timeoutOf(head),
             depth = head.depth,
             retriesAllowed = head.retriesAllowed,
             bodyBytes = body.lengthBytes,
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
@@ -2,10 +2,13 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -20,10 +23,30 @@
 import java.io.Closeable
 import java.net.InetSocketAddress
 import org.wisteriahinge.adapters.backend.IoLoop
+import org.wisteriahinge.adapters.caller.HeadTimedOut
+import org.wisteriahinge.adapters.caller.HeadTimeoutHandler
+import org.wisteriahinge.adapters.clients.ClientRegistry
+import org.wisteriahinge.adapters.clients.HeadNotHeld
+import org.wisteriahinge.adapters.clients.ReadGate
+import org.wisteriahinge.adapters.clients.TrackedClient
+import org.wisteriahinge.core.clients.ClientActivity
+import org.wisteriahinge.core.clients.ClientAddress
 import org.wisteriahinge.core.model.Address
+import org.wisteriahinge.core.model.RequestLimits
 
 private const val MAX_BODY_BYTES = 4_096
 
+/** Most bytes read from one connection before the others, and calls, have their turn. */
+private const val MAX_BYTES_PER_TURN = 2 * 1_024
+private const val MIN_READ_BYTES = 64
+private const val FIRST_READ_BYTES = 512
+
+/** Its timeouts bound how long a client may send a request and stay idle. */
+private val REQUEST_LIMITS = RequestLimits()
+
+/** The registry of clients, and the [address] in it of a server. */
+internal class InternalClients(val registry: ClientRegistry, val address: ClientAddress)
+
 /** The answer to a request to an [InternalHttpServer]. */
 internal class InternalAnswer(
     val status: HttpResponseStatus,
@@ -34,7 +57,9 @@
 /** A request and the means to answer it, now or later. Used on the I/O thread only. */
 internal class InternalExchange(
     private val context: ChannelHandlerContext,
-    request: FullHttpRequest
+    request: FullHttpRequest,
+    private val client: TrackedClient,
+    private val onWritten: () -> Unit
 ) {
     val uri: String = request.uri()
     private val keepAlive = HttpUtil.isKeepAlive(request)
@@ -51,7 +76,14 @@
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
+        client.activity = ClientActivity.Answering
+        client.answerWritten(answer.body.size)
         val written = context.writeAndFlush(response)
+        written.addListener {
+            client.answerRead(answer.body.size)
+            onWritten()
+        }
+        if (!written.isDone) client.awaitReading()
         if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
         written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
     }
@@ -66,6 +98,7 @@
 internal class InternalHttpServer(
     private val address: Address,
     private val loop: IoLoop,
+    private val clients: InternalClients,
     private val serve: (InternalExchange) -> Unit
 ) : Closeable {
     private var server: Channel? = null
@@ -79,6 +112,7 @@
         val bound = ServerBootstrap()
             .group(loop.group)
             .channel(NioServerSocketChannel::class.java)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readSizes())
             .childHandler(Initializer())
             .bind(address.host, address.port)
             .syncUninterruptibly()
@@ -87,16 +121,45 @@
         return (bound.localAddress() as InetSocketAddress).port
     }
 
+    private fun readSizes(): RecvByteBufAllocator =
+        AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_BYTES_PER_TURN)
+            .maxMessagesPerRead(1)
+
     private inner class Initializer : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
-            channel.pipeline()
-                .addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY_BYTES), Handler())
+            val client = clients.registry.admit(channel, clients.address) ?: return
+            val gate = ReadGate(client)
+            val timeout = HeadTimeoutHandler { REQUEST_LIMITS }
+            channel.pipeline().addLast(
+                gate,
+                timeout,
+                HttpServerCodec(),
+                HttpObjectAggregator(MAX_BODY_BYTES),
+                Handler(client, gate, timeout)
+            )
         }
     }
 
-    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private inner class Handler(
+        private val client: TrackedClient,
+        private val gate: ReadGate,
+        private val timeout: HeadTimeoutHandler
+    ) : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            serve(InternalExchange(context, request))
+            timeout.headComplete()
+            client.isBusy = true
+            client.activity = ClientActivity.Serving
+            serve(InternalExchange(context, request, client) { awaitRequest(context) })
+        }
+
+        private fun awaitRequest(context: ChannelHandlerContext) {
+            client.requestEnded()
+            timeout.awaitRequest()
+            gate.resume(context.pipeline().context(gate) ?: return)
+        }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event == HeadTimedOut || event == HeadNotHeld) context.close()
         }
 
         // Not logged: a peer may reset its connection at any time.
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -88,7 +88,9 @@
         AdminAddress(settings.ready.host, settings.ready.port, READY_PATH),
         view,
         { metricsRegistry },
-        pipeline.loop
+        pipeline.loop,
+        pipeline.clients,
+        clock
     )
     private val metricsRegistry: PrometheusRegistry by lazy {
         pipeline.metricsRegistry.also { topicMetrics().register(it) }
@@ -120,7 +122,7 @@
         return if (own == null) {
             PlatformSources.Following(settings, storeClient, clock)
         } else {
-            PlatformSources.Relaying(own, settings, storeClient, pipeline.loop, clock)
+            PlatformSources.Relaying(own, settings, storeClient, pipeline, clock)
         }
     }
 
