Keep customers' quotas over all instances with tokens that relays grant

Customers with API keys have a quota over all instances together, and nothing enforced it. Equal parts at each instance would waste small quotas: 88 customers of very different size reach 146 instances unevenly.

Each relay now grants one fixed share of each customer's quota, and each request of such a customer takes a token: the call waits in the new stage Quota while the nearest relay is asked, and then the others, before it is refused. Fixed shares need no agreement, no lease and no call to the store, and their sum is the quota whichever relays reach each other. A relay begins without tokens. While relays grant none, an instance uses an equal part of their shares: most of it if the connection was refused, so that no one gets tokens there, and a fiftieth if the relay is silent, because others may. Requests over the quota are refused as quota_exceeded (429, with the time of the next token), those that no relay could be asked about as quota_unavailable (503).

Deployments without such customers send and count nothing new.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
@@ -1,6 +1,7 @@
 package org.wisteriahinge.adapters.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -37,6 +38,7 @@
     request: FullHttpRequest
 ) {
     val uri: String = request.uri()
+    val body: ByteArray = ByteBufUtil.getBytes(request.content())
     private val keepAlive = HttpUtil.isKeepAlive(request)
 
     /** Writes [answer]. To be called once. */
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.util.concurrent.atomic.AtomicReference
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.core.call.CallCounter
 
@@ -15,6 +16,7 @@
  */
 public class CallMetrics {
     private val counts = AtomicReference(persistentHashMapOf<CounterKey, Long>())
+    private val quotaCustomers = AtomicReference(persistentHashSetOf<String>())
 
     /** Increments the metric that belongs to [counter]. */
     public fun count(counter: CallCounter) {
@@ -47,10 +49,29 @@
         is CallCounter.ProbeFailed -> PROBES.with(counter.service.value, "failed")
         is CallCounter.RateLimited ->
             RATE_LIMITED.with(counter.service.value, counter.outcome.wireName)
+        is CallCounter.Quota -> quotaKey(counter)
         is CallCounter.Truncated -> TRUNCATED.with(counter.service.value)
     }
 
+    /** Customers beyond the bound are counted together. */
+    private fun quotaKey(counter: CallCounter.Quota): CounterKey {
+        val customer = counter.customer.value
+        val known = quotaCustomers.updateAndGet {
+            if (it.size < MAX_QUOTA_CUSTOMERS) it.add(customer) else it
+        }
+        val label = if (customer in known) customer else OTHER_CUSTOMERS
+        return QUOTA.with(label, counter.outcome.wireName)
+    }
+
     private companion object {
+        const val MAX_QUOTA_CUSTOMERS = 200
+        const val OTHER_CUSTOMERS = "other"
+        val QUOTA = family(
+            "wisteriahinge_quota_requests_total",
+            "Requests of customers with quotas, by whether they got a token",
+            "customer",
+            "outcome"
+        )
         val REFUSED =
             family("wisteriahinge_refused_total", "Calls refused, by reason", "reason")
         val ANSWERED = family(
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
@@ -15,6 +15,8 @@
 import org.wisteriahinge.adapters.http.InternalAnswer
 import org.wisteriahinge.adapters.http.InternalExchange
 import org.wisteriahinge.adapters.http.InternalHttpServer
+import org.wisteriahinge.adapters.quota.QUOTA_PATH
+import org.wisteriahinge.adapters.quota.QuotaEndpoint
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.watch.TopicPosition
 import org.wisteriahinge.runtime.MirroredRecords
@@ -31,14 +33,16 @@
  *
  * [topics] maps the name of each topic to its current records. A request for changes waits until
  * the topic was read again, which makes the records younger, or its time is up (long polling). An
- * answer tells how old the records are, and records that are too old are not served. All state is
+ * answer tells how old the records are, and records that are too old are not served. It passes
+ * questions for tokens of customers' quotas to [quotas]; null if it grants none. All state is
  * confined to [loop].
  */
 public class RelayServer(
     address: Address,
     private val topics: PersistentMap<String, ServedTopic>,
     private val loop: IoLoop,
-    private val clock: Clock
+    private val clock: Clock,
+    private val quotas: QuotaEndpoint? = null
 ) : Closeable {
     private val server = InternalHttpServer(address, loop, ::serve)
     private var pendingReads: PersistentList<PendingRead> = persistentListOf()
@@ -64,6 +68,14 @@
 
     private fun serve(exchange: InternalExchange) {
         val query = QueryStringDecoder(exchange.uri)
+        if (quotas != null && query.path() == QUOTA_PATH) {
+            quotas.answer(exchange)
+        } else {
+            serveTopic(exchange, query)
+        }
+    }
+
+    private fun serveTopic(exchange: InternalExchange, query: QueryStringDecoder) {
         val arrivedAt = clock.instant()
         topics.entries.forEach { (name, topic) ->
             when (query.path()) {
--- a/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/CallPipeline.kt
@@ -23,6 +23,7 @@
 import org.wisteriahinge.adapters.caller.ownershipOf
 import org.wisteriahinge.adapters.metrics.CallMetrics
 import org.wisteriahinge.adapters.metrics.InstanceMetrics
+import org.wisteriahinge.adapters.metrics.QuotaRelayMonitor
 import org.wisteriahinge.adapters.metrics.RateLimitMonitor
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
@@ -84,6 +85,7 @@
     private val metrics = CallMetrics()
     private val callLog = CallTraceLog()
     private val rateLimits = RateLimitMonitor(clock)
+    private val quotaRelays = QuotaRelayMonitor(clock)
     val ring = Ring<CallMessage>(
         "calls",
         CALLS_RING_CAPACITY,
@@ -136,6 +138,7 @@
         metrics.register(registry)
         callLog.register(registry)
         rateLimits.register(registry)
+        quotaRelays.register(registry)
         instanceMetrics.register(registry)
         registry
     }
@@ -182,6 +185,7 @@
             is CallEffect.Count -> metrics.count(effect.counter)
             is CallEffect.LogCall -> callTraces.submit(effect.trace)
             is CallEffect.NotifyRateLimit -> rateLimits.accept(effect.notice)
+            is CallEffect.NotifyQuota -> quotaRelays.accept(effect.notice)
             is CallEffect.Probe -> prober.probe(effect.target, effect.path)
             is CallEffect.CheckServer -> checker.check(effect)
             is CallEffect.ForCall -> error("$effect must be handled by the front end of its call")
@@ -193,6 +197,7 @@
             is CallEffect.ShareCrashes,
             is CallEffect.ClearCrashes,
             is CallEffect.RequestRateLimitShare,
+            is CallEffect.AskQuota,
             is CallEffect.PublishLoads -> otherEffects.perform(effect)
         }
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -13,6 +13,7 @@
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.ListeningSocket
 import org.wisteriahinge.adapters.metrics.TopicMetrics
+import org.wisteriahinge.adapters.quota.QuotaAsker
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.group.GroupEvent
@@ -37,6 +38,10 @@
 /** Limits for the store and for each relay; a connection attempt that times out is repeated. */
 private val storeConnectionLimits =
     ConnectionLimits(perTarget = 6, connectTimeout = Duration.ofMillis(400))
+
+/** Limits for questions for quota tokens: one at a time to each relay, and those given up. */
+private val quotaConnectionLimits =
+    ConnectionLimits(perTarget = 4, connectTimeout = Duration.ofMillis(400))
 private val STOP_TIMEOUT: Duration = Duration.ofSeconds(1)
 
 /**
@@ -62,6 +67,8 @@
     )
     private val storeClient =
         BackendClient(storeConnectionLimits, pipeline.loop)
+    private val quotaAsker =
+        QuotaAsker(BackendClient(quotaConnectionLimits, pipeline.loop)) { pipeline.offer(it) }
     private val sources = sources()
     private val rateLimitGroup = rateLimitGroup()
     private val crashCounts = CrashCounts(settings, storeClient, sources.crashes, clock, pipeline)
@@ -84,7 +91,10 @@
         pipeline.loop
     )
     private val metricsRegistry: PrometheusRegistry by lazy {
-        pipeline.metricsRegistry.also { topicMetrics().register(it) }
+        pipeline.metricsRegistry.also {
+            topicMetrics().register(it)
+            sources.quotas?.metrics?.register(it)
+        }
     }
 
     private fun topicMetrics(): TopicMetrics {
@@ -130,6 +140,7 @@
         when (effect) {
             is CallEffect.RequestRateLimitShare ->
                 rateLimitGroup.post(GroupEvent.NeedChanged(effect.isNeeded))
+            is CallEffect.AskQuota -> quotaAsker.ask(effect.question)
             is CallEffect.ShareCrashes -> crashCounts.share(effect)
             is CallEffect.ClearCrashes -> crashCounts.clear(effect)
             // Callers of open routes have no plan, no idempotency keys and no identity.
@@ -142,6 +153,7 @@
             is CallEffect.Count,
             is CallEffect.LogCall,
             is CallEffect.NotifyRateLimit,
+            is CallEffect.NotifyQuota,
             is CallEffect.Probe,
             is CallEffect.CheckServer,
             is CallEffect.ForCall -> error("$effect must be handled by the call pipeline")
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -15,6 +15,8 @@
 import org.wisteriahinge.core.quarantine.CrashEvidence
 import org.wisteriahinge.core.quarantine.QuarantineSettings
 import org.wisteriahinge.core.quarantine.QuarantineState
+import org.wisteriahinge.core.quota.QuotaClient
+import org.wisteriahinge.core.quota.QuotaPolicy
 import org.wisteriahinge.core.ratelimit.RateLimitShare
 import org.wisteriahinge.core.ratelimit.RateLimits
 import org.wisteriahinge.core.retry.Hedging
@@ -120,5 +122,12 @@
     held = HeldCalls(EarlyCallPolicy.Held(MAX_EARLY_CALL_WAIT)),
     handover = HandoverState(
         if (handover == null) HandoverPolicy.Off else HandoverPolicy.ToInstances(InstanceId(name))
+    ),
+    quotas = QuotaClient(
+        QuotaPolicy.ThroughRelays(
+            platform.relays,
+            platform.ownRelay?.takeIf { it in platform.relays },
+            seed
+        )
     )
 )
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -5,6 +5,7 @@
 import java.time.Clock
 import java.time.Duration
 import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentListOf
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.directory.DirectoryRecord
@@ -25,7 +26,7 @@
 
 /** Reads the platform's topics and passes configurations and targets to [pipeline] and [view]. */
 internal class FrontTopics(
-    sources: PlatformSources,
+    private val sources: PlatformSources,
     seed: Long,
     private val clock: Clock,
     private val pipeline: CallPipeline,
@@ -88,6 +89,7 @@
         if (next.revision <= view.revision) return
         pipeline.offerBlocking(CallEvent.Configured(next))
         next.requestLimits?.let(pipeline::applyBounds)
+        sources.quotas?.configure(next.keyed?.quotas() ?: persistentHashMapOf())
         view.configurationApplied(next.revision)
         logger.info { "configuration ${next.revision} is in force" }
     }
--- a/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/Instance.kt
@@ -140,6 +140,7 @@
                 network?.report(MembershipEvent.QuarantineChanged(effect.notices))
             // Its targets name no limits, and its callers have an identity.
             is CallEffect.RequestRateLimitShare,
+            is CallEffect.AskQuota,
             is CallEffect.ShareCrashes,
             is CallEffect.ClearCrashes -> Unit
             is CallEffect.PublishLoads -> network?.report(
@@ -148,6 +149,7 @@
             is CallEffect.Count,
             is CallEffect.LogCall,
             is CallEffect.NotifyRateLimit,
+            is CallEffect.NotifyQuota,
             is CallEffect.Probe,
             is CallEffect.CheckServer,
             is CallEffect.ForCall -> error("$effect must be handled by the call pipeline")
--- a/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/PlatformSources.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.IoLoop
+import org.wisteriahinge.adapters.quota.QuotaEndpoint
 import org.wisteriahinge.adapters.relay.RelayServer
 import org.wisteriahinge.adapters.relay.RelayTopic
 import org.wisteriahinge.adapters.relay.ServedTopic
@@ -68,6 +69,9 @@
     /** Where instances take calls from others. */
     val instances: FollowedTopic
 
+    /** Grants tokens of customers' quotas to other instances; null if this one is no relay. */
+    val quotas: QuotaEndpoint?
+
     /**
      * Starts serving the topics to other instances if this one is a relay.
      *
@@ -102,6 +106,7 @@
             mirrored(plans.targets, RecordFilter.ChangedRecords(::decodeStableTarget))
         override val crashes = mirrored(plans.crashes)
         override val instances = mirrored(plans.instances)
+        override val quotas = QuotaEndpoint(settings.platform.relays.size, loop, clock)
         private val server = RelayServer(
             ownAddress,
             persistentHashMapOf(
@@ -111,7 +116,8 @@
                 served(plans.instances, instances)
             ),
             loop,
-            clock
+            clock,
+            quotas
         )
 
         private fun mirrored(
@@ -154,6 +160,7 @@
         override val targets = followed(plans.targets)
         override val crashes = followed(plans.crashes)
         override val instances = followed(plans.instances)
+        override val quotas = null
 
         private fun followed(plan: TopicPlan) =
             reader.topic(plan, plan.budget.followerTakeover(settings.seed))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/fuzz/WorldEffects.kt
@@ -44,7 +44,8 @@
     is CallEffect.ReportQuarantine, is CallEffect.PublishQuarantineSummary,
     is CallEffect.CheckServer, is CallEffect.ShareCrashes, is CallEffect.ClearCrashes -> this
     is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall,
-    is CallEffect.NotifyRateLimit, is CallEffect.RequestRateLimitShare -> this
+    is CallEffect.NotifyRateLimit, is CallEffect.RequestRateLimitShare,
+    is CallEffect.AskQuota, is CallEffect.NotifyQuota -> this
 }
 
 private fun World.told(copy: CopyRef, what: Told): World = copy(oracle = oracle.told(copy, what))
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Simulation.kt
@@ -170,7 +170,8 @@
             // Requests that crash targets are never answered.
             is CallEffect.ClearCrashes -> Unit
             is CallEffect.Finished, is CallEffect.Count, is CallEffect.LogCall,
-            is CallEffect.NotifyRateLimit, is CallEffect.RequestRateLimitShare -> Unit
+            is CallEffect.NotifyRateLimit, is CallEffect.RequestRateLimitShare,
+            is CallEffect.AskQuota, is CallEffect.NotifyQuota -> Unit
         }
     }
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.core.call
 
+import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.retry.RetryDenial
@@ -14,6 +15,18 @@
     public data object Refused : RateLimitOutcome("refused")
 }
 
+/** What became of a call whose customer has a quota. */
+public sealed class QuotaOutcome(public val wireName: String) {
+    /** It got a token. */
+    public data object Granted : QuotaOutcome("granted")
+
+    /** The quota was used up. */
+    public data object Exceeded : QuotaOutcome("exceeded")
+
+    /** No relay that grants tokens could be asked. */
+    public data object Unavailable : QuotaOutcome("unavailable")
+}
+
 /** A counter metric of events and decisions on calls, with its labels. */
 public sealed interface CallCounter {
     /** A call was refused by the load balancer. */
@@ -57,6 +70,9 @@
     public data class RateLimited(val service: ServiceId, val outcome: RateLimitOutcome) :
         CallCounter
 
+    /** A call needed a token of its customer's quota. */
+    public data class Quota(val customer: CustomerId, val outcome: QuotaOutcome) : CallCounter
+
     /** An answer ended early after its delivery began. */
     public data class Truncated(val service: ServiceId) : CallCounter
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEffect.kt
@@ -18,6 +18,8 @@
 import org.wisteriahinge.core.model.Target
 import org.wisteriahinge.core.once.OnceEvent
 import org.wisteriahinge.core.quarantine.Witness
+import org.wisteriahinge.core.quota.QuotaNotice
+import org.wisteriahinge.core.quota.QuotaQuestion
 import org.wisteriahinge.core.ratelimit.RateLimitNotice
 
 /**
@@ -115,6 +117,12 @@
     /** Tell the duty that leases rate limits whether this instance knows of any. */
     public data class RequestRateLimitShare(val isNeeded: Boolean) : CallEffect
 
+    /** Ask a relay for tokens of customers' quotas. */
+    public data class AskQuota(val question: QuotaQuestion) : CallEffect
+
+    /** Log and measure news on the relays that grant tokens. */
+    public data class NotifyQuota(val notice: QuotaNotice) : CallEffect
+
     /** Log and measure news on the rate limits of targets. */
     public data class NotifyRateLimit(val notice: RateLimitNotice) : CallEffect
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -1,5 +1,6 @@
 package org.wisteriahinge.core.call
 
+import java.time.Instant
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentSet
 import org.wisteriahinge.core.handover.PeerInstance
@@ -7,6 +8,7 @@
 import org.wisteriahinge.core.membership.QuarantineNotice
 import org.wisteriahinge.core.membership.RetainedAnswer
 import org.wisteriahinge.core.membership.TargetLoad
+import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.AttemptId
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
@@ -18,6 +20,8 @@
 import org.wisteriahinge.core.model.TargetStatement
 import org.wisteriahinge.core.once.ClaimSettlement
 import org.wisteriahinge.core.quarantine.ServerCheckOutcome
+import org.wisteriahinge.core.quota.QuotaGrant
+import org.wisteriahinge.core.quota.RelayFailure
 import org.wisteriahinge.core.ratelimit.RateLimitShare
 
 /** An input to [CallsState.decide]: everything that can change the calls of an instance. */
@@ -111,6 +115,26 @@
     /** The registry listed the other instances, which take calls that cannot be served here. */
     public data class PeersListed(val peers: PersistentList<PeerInstance>) : DutyDecision
 
+    /** How a relay reacted to the question for tokens of customers' quotas at [askedAt]. */
+    public sealed interface QuotaEvent : CallEvent {
+        public val relay: Address
+        public val askedAt: Instant
+    }
+
+    /** The [relay] granted tokens. */
+    public data class QuotaAnswered(
+        override val relay: Address,
+        override val askedAt: Instant,
+        val grants: PersistentList<QuotaGrant>
+    ) : QuotaEvent
+
+    /** The [relay] granted nothing. */
+    public data class QuotaUnanswered(
+        override val relay: Address,
+        override val askedAt: Instant,
+        val failure: RelayFailure
+    ) : QuotaEvent
+
     /** A probe of [target] brought no load report. */
     public data class ProbeFailed(val target: TargetId, val statement: TargetStatement? = null) :
         CallEvent
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStage.kt
@@ -13,6 +13,9 @@
     /** Charges the call to its customer's rate and concurrency limits. */
     public data object Limits : CallStage("limits")
 
+    /** Takes a token of the customer's quota over all instances. */
+    public data object Quota : CallStage("quota")
+
     /** Refuses calls that cannot be served in time, before their idempotency key is claimed. */
     public data object Headroom : CallStage("headroom")
 
@@ -37,6 +40,7 @@
         CallStage.Quarantine,
         CallStage.Limits,
         CallStage.Headroom,
+        CallStage.Quota,
         CallStage.Claim,
         CallStage.Admission,
         CallStage.Survey
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallStages.kt
@@ -9,6 +9,8 @@
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.quarantine.enterQuarantine
 import org.wisteriahinge.core.quarantine.leaveQuarantine
+import org.wisteriahinge.core.quota.enterQuota
+import org.wisteriahinge.core.quota.leaveQuota
 import org.wisteriahinge.core.survey.enterSurvey
 import org.wisteriahinge.core.survey.leaveSurvey
 
@@ -54,6 +56,7 @@
     when (stage) {
         CallStage.Quarantine -> enterQuarantine(call, now)
         CallStage.Headroom -> enterHeadroom(call, now)
+        CallStage.Quota -> enterQuota(call, now)
         CallStage.Claim -> enterClaim(call)
         CallStage.Limits -> enterLimits(call, now)
         CallStage.Admission -> enterAdmission(call, now)
@@ -68,6 +71,7 @@
 ): CallsDecision = when (stage) {
     CallStage.Quarantine -> leaveQuarantine(call, end, now)
     CallStage.Headroom -> CallsDecision(this)
+    CallStage.Quota -> leaveQuota(call, end, now)
     CallStage.Claim -> leaveClaim(call, end)
     CallStage.Limits -> leaveLimits(call)
     CallStage.Admission -> leaveAdmission(call, end, now)
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -9,6 +9,7 @@
 import org.wisteriahinge.core.handover.observePath
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.Refusal
@@ -18,6 +19,11 @@
 import org.wisteriahinge.core.quarantine.quarantineReported
 import org.wisteriahinge.core.quarantine.serverChecked
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
+import org.wisteriahinge.core.quota.greetRelays
+import org.wisteriahinge.core.quota.quotaAnswered
+import org.wisteriahinge.core.quota.quotaPeersListed
+import org.wisteriahinge.core.quota.quotaUnanswered
+import org.wisteriahinge.core.quota.refuseWithoutQuota
 import org.wisteriahinge.core.routing.membersChanged
 import org.wisteriahinge.core.routing.peerReported
 import org.wisteriahinge.core.survey.continueSurveys
@@ -46,6 +52,7 @@
         probeFailed(event.target).then { it.continueSurveys(event.target, now) }
     is CallEvent.PeerLoads ->
         CallsDecision(copy(routing = routing.peerReported(event.loads, now)))
+    is CallEvent.QuotaEvent -> decideQuota(event, now)
     is CallEvent.MembersChanged -> membersChanged(event)
     is CallEvent.DutyDecision -> onDutyDecision(event, now)
     CallEvent.Ticked -> ticked(now)
@@ -61,6 +68,12 @@
             stepAttempt(event.callId, event.attemptId, AttemptTrigger.Truncated, now)
     }
 
+private fun CallsState.decideQuota(event: CallEvent.QuotaEvent, now: Instant): CallsDecision =
+    when (event) {
+        is CallEvent.QuotaAnswered -> quotaAnswered(event, now)
+        is CallEvent.QuotaUnanswered -> quotaUnanswered(event, now)
+    }
+
 private fun CallsState.decideCrash(event: CallEvent.CrashEvent, now: Instant): CallsDecision =
     when (event) {
         is CallEvent.QuarantineReported -> quarantineReported(event, now)
@@ -72,7 +85,9 @@
 private fun CallsState.onDutyDecision(event: CallEvent.DutyDecision, now: Instant): CallsDecision =
     when (event) {
         is CallEvent.Configured ->
-            configured(event.configuration).then { it.releaseHeld(now) }
+            configured(event.configuration)
+                .then { it.greetRelays(now) }
+                .then { it.releaseHeld(now) }
         is CallEvent.TargetsListed ->
             targetsListed(event.targets).then { it.releaseHeld(now) }
         is CallEvent.ClaimSettled -> claimSettled(event, now)
@@ -80,7 +95,9 @@
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
         is CallEvent.RateLimitShareChanged -> rateLimitShareChanged(event.share, now)
         is CallEvent.PeersListed ->
-            CallsDecision(copy(handover = handover.listed(event.peers)))
+            CallsDecision(
+                copy(handover = handover.listed(event.peers)).quotaPeersListed(event.peers)
+            )
     }
 
 private fun CallsState.membersChanged(event: CallEvent.MembersChanged): CallsDecision {
@@ -98,9 +115,11 @@
     if (next.revision <= configuration.revision) {
         CallsDecision(this)
     } else {
-        copy(configuration = next).withListedTargets()
+        copy(configuration = next, quotas = quotas.retaining(next.keyedIds())).withListedTargets()
     }
 
+private fun Configuration.keyedIds(): Set<CustomerId> = keyed?.byId?.keys.orEmpty()
+
 private fun CallsState.targetsListed(targets: ListedTargets): CallsDecision =
     copy(listed = targets).withListedTargets()
 
@@ -152,6 +171,7 @@
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
     .then { it.refuseExpired(now) }
     .then { it.refuseExpiredHeld(now) }
+    .then { it.refuseWithoutQuota(now) }
     .then { it.endExpiredSurveys(now) }
     .then { it.startHedges(now) }
     .then { it.reportDemand(now) }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -19,6 +19,8 @@
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.quarantine.QuarantineState
+import org.wisteriahinge.core.quota.QuotaClient
+import org.wisteriahinge.core.quota.QuotaToken
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.core.routing.WeightedRoundRobin
@@ -42,6 +44,7 @@
  * @property attemptsReceived the number of ended attempts that may have reached their target
  * @property hedgeConsidered whether a hedge was started or denied, so that none is considered again
  * @property countsAgainstPlan whether the call counts against its plan's concurrent calls
+ * @property quotaToken the token of the customer's quota that a relay granted for the call
  * @property targetsWithCapacity the targets that reported spare capacity in the call's survey
  * @property steps the events logged when the call ends
  */
@@ -58,6 +61,7 @@
     val hedgeConsidered: Boolean = false,
     val claim: CallClaim = CallClaim.None,
     val countsAgainstPlan: Boolean = false,
+    val quotaToken: QuotaToken? = null,
     val targetsWithCapacity: PersistentSet<TargetId> = persistentSetOf(),
     val steps: PersistentList<TraceStep> = persistentListOf()
 )
@@ -70,6 +74,7 @@
  * @property mostUrgent the rank of the most urgent calls of each service
  * @property held the calls that arrived before the instance could serve them
  * @property handover the paths to the targets, and the instances that may have others
+ * @property quotas the tokens of customers' quotas, and the calls that wait for some
  */
 public data class CallsState(
     val configuration: Configuration,
@@ -85,7 +90,8 @@
     val listed: ListedTargets? = null,
     val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
     val held: HeldCalls = HeldCalls(),
-    val handover: HandoverState = HandoverState()
+    val handover: HandoverState = HandoverState(),
+    val quotas: QuotaClient = QuotaClient()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/NextTick.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/NextTick.kt
@@ -18,7 +18,8 @@
     tickedAt + tickPeriod(),
     nextHedgeAt(),
     surveys.earliestExpiry,
-    held.earliestExpiry
+    held.earliestExpiry,
+    quotas.earliestExpiry
 ).min()
 
 private fun CallsState.tickPeriod(): Duration = when {
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/TargetStatements.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/TargetStatements.kt
@@ -25,6 +25,7 @@
         is CallEvent.CallerGone,
         is CallEvent.CrashEvent,
         is CallEvent.PeerLoads,
+        is CallEvent.QuotaEvent,
         is CallEvent.MembersChanged,
         is CallEvent.DutyDecision,
         CallEvent.Ticked -> CallsDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/handover/PathObservation.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/handover/PathObservation.kt
@@ -38,6 +38,7 @@
     is CallEvent.CallerGone,
     is CallEvent.CrashEvent,
     is CallEvent.PeerLoads,
+    is CallEvent.QuotaEvent,
     is CallEvent.MembersChanged,
     is CallEvent.DutyDecision,
     CallEvent.Ticked -> CallsDecision(this)
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/KeyedCustomers.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/KeyedCustomers.kt
@@ -36,6 +36,12 @@
             customer.keys.fold(owners) { all, key -> all.put(key, customer) }
         }
 
+    /** The quotas of the customers that have one. */
+    public fun quotas(): PersistentMap<CustomerId, RequestQuota> =
+        byId.values.fold(persistentHashMapOf()) { all, customer ->
+            customer.quota?.let { all.put(customer.id, it) } ?: all
+        }
+
     /** The customer that holds [key]; null if none does. */
     public fun owner(key: KeyHash): KeyedCustomer? = byKey[key]
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Refusal.kt
@@ -168,6 +168,20 @@
         "Slow down, or ask for a larger plan."
     )
 
+    public data object QuotaExceeded : RefusalReason(
+        "quota_exceeded",
+        429,
+        "The customer's quota is used up",
+        "Send fewer requests, or ask the operator for a higher quota."
+    )
+
+    public data object QuotaUnavailable : RefusalReason(
+        "quota_unavailable",
+        503,
+        "The customer's quota cannot be checked",
+        "Send the request again; other instances may reach a relay."
+    )
+
     public data object ConcurrencyExceeded : RefusalReason(
         "concurrency_exceeded",
         429,
