--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -17,6 +17,7 @@
 import org.wisteriahinge.core.quarantine.crashesCleared
 import org.wisteriahinge.core.quarantine.crashesShared
 import org.wisteriahinge.core.quarantine.quarantineReported
+import org.wisteriahinge.core.quarantine.repeatServerChecks
 import org.wisteriahinge.core.quarantine.serverChecked
 import org.wisteriahinge.core.quarantine.summarizeQuarantine
 import org.wisteriahinge.core.quota.greetRelays
@@ -129,14 +130,14 @@
     val next = copy(
         configuration = configuration.copy(entitlements = entitlements),
         routing = routing.configured(entitlements),
-        mostUrgent = mostUrgentOf(entitlements)
+        mostUrgent = mostUrgentOf(entitlements, configuration.keyed)
     )
     return next.announceIfChanged(before = routing.rateLimits)
 }
 
 internal fun CallsState.arrive(request: CallRequest, now: Instant): CallsDecision {
     request.handover?.let { return arriveHandedOver(request, it, now) }
-    val route = request.host?.let { configuration.entitlements.routes.match(it, request.path) }
+    val route = configuration.routeOf(request)
     return if (route == null) arriveWithPlan(request, now) else arriveOpen(request, route, now)
 }
 
@@ -169,6 +170,7 @@
         .emit(CallEffect.Refuse(callId, refusal))
 
 private fun CallsState.ticked(now: Instant): CallsDecision = summarizeQuarantine(now)
+    .then { it.repeatServerChecks(now) }
     .then { it.refuseExpired(now) }
     .then { it.refuseExpiredHeld(now) }
     .then { it.refuseWithoutQuota(now) }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/NextTick.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/NextTick.kt
@@ -19,7 +19,8 @@
     nextHedgeAt(),
     surveys.earliestExpiry,
     held.earliestExpiry,
-    quotas.earliestExpiry
+    quotas.earliestExpiry,
+    quarantine.nextCheckAt
 ).min()
 
 private fun CallsState.tickPeriod(): Duration = when {
