--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -16,6 +16,8 @@
 import org.wisteriahinge.core.quarantine.CrashEvidence
 import org.wisteriahinge.core.quarantine.QuarantineSettings
 import org.wisteriahinge.core.quarantine.QuarantineState
+import org.wisteriahinge.core.quota.QuotaClient
+import org.wisteriahinge.core.quota.QuotaPolicy
 import org.wisteriahinge.core.ratelimit.RateLimitShare
 import org.wisteriahinge.core.ratelimit.RateLimits
 import org.wisteriahinge.core.retry.HedgeLimit
@@ -124,7 +126,14 @@
     handover = HandoverState(
         if (handover == null) HandoverPolicy.Off else HandoverPolicy.ToInstances(InstanceId(name))
     ),
-    keyTrust = KeyTrust(bounds.revocation)
+    keyTrust = KeyTrust(bounds.revocation),
+    quotas = QuotaClient(
+        QuotaPolicy.ThroughRelays(
+            platform.relays,
+            platform.ownRelay?.takeIf { it in platform.relays },
+            seed
+        )
+    )
 )
 
 private fun FrontSettings.hedging(): Hedging =
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -2,6 +2,7 @@
 
 import org.wisteriahinge.core.clients.ClientAddress
 import org.wisteriahinge.core.clients.ClientClosing
+import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.retry.RetryDenial
@@ -16,6 +17,18 @@
     public data object Refused : RateLimitOutcome("refused")
 }
 
+/** What became of a call whose customer has a quota. */
+public sealed class QuotaOutcome(public val wireName: String) {
+    /** It got a token. */
+    public data object Granted : QuotaOutcome("granted")
+
+    /** The quota was used up. */
+    public data object Exceeded : QuotaOutcome("exceeded")
+
+    /** No relay that grants tokens could be asked. */
+    public data object Unavailable : QuotaOutcome("unavailable")
+}
+
 /** A counter metric of events and decisions on calls, with its labels. */
 public sealed interface CallCounter {
     /** A call was refused by the load balancer. */
@@ -63,6 +76,9 @@
     public data class ClientClosed(val address: ClientAddress, val reason: ClientClosing) :
         CallCounter
 
+    /** A call needed a token of its customer's quota. */
+    public data class Quota(val customer: CustomerId, val outcome: QuotaOutcome) : CallCounter
+
     /** An answer ended early after its delivery began. */
     public data class Truncated(val service: ServiceId) : CallCounter
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/NextTick.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/NextTick.kt
@@ -19,6 +19,7 @@
     nextHedgeAt(),
     surveys.earliestExpiry,
     held.earliestExpiry,
+    quotas.earliestExpiry,
     quarantine.nextCheckAt
 ).min()
 
