--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontPolicy.kt
@@ -98,18 +98,7 @@
         seed,
         rateLimits = RateLimits(share = RateLimitShare.None)
     ),
-    retries = RetryState(
-        RetrySettings(
-            maxAttempts = MAX_ATTEMPTS,
-            hedging = hedging(),
-            limit = RetryLimit.Window(
-                retryBudget.window,
-                retryBudget.ratio * RETRY_BUDGET_SHARE,
-                RETRY_ALLOWANCE,
-                HedgeLimit(retryBudget.hedgeRatio, HEDGE_SHARE, seed)
-            )
-        )
-    ),
+    retries = RetryState(retryBudget.toRetrySettings(seed)),
     surveys = SurveysState(SurveyPolicy.BeforeEach()),
     quarantine = QuarantineState(
         QuarantineSettings(
@@ -124,5 +113,14 @@
     )
 )
 
-private fun FrontSettings.hedging(): Hedging =
-    if (retryBudget.hedgeRatio > 0) Hedging.AfterQuantile(HEDGE_QUANTILE) else Hedging.Off
+/** The bounds on retries and hedges of an instance with [seed]. */
+public fun RetryBudgetSettings.toRetrySettings(seed: Long): RetrySettings = RetrySettings(
+    maxAttempts = MAX_ATTEMPTS,
+    hedging = if (hedgeRatio > 0) Hedging.AfterQuantile(HEDGE_QUANTILE) else Hedging.Off,
+    limit = RetryLimit.Window(
+        window,
+        ratio * RETRY_BUDGET_SHARE,
+        RETRY_ALLOWANCE,
+        HedgeLimit(hedgeRatio, HEDGE_SHARE, seed)
+    )
+)
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/Main.kt
@@ -19,12 +19,14 @@
 import org.wisteriahinge.bench.fuzz.limits
 import org.wisteriahinge.bench.fuzz.logOutage
 import org.wisteriahinge.bench.policy.DEEP_CALLS
+import org.wisteriahinge.bench.policy.HEDGING
 import org.wisteriahinge.bench.policy.POISON_FRONT
 import org.wisteriahinge.bench.policy.SCENARIOS
 import org.wisteriahinge.bench.policy.STRANDED
 import org.wisteriahinge.bench.policy.Scenario
 import org.wisteriahinge.bench.policy.TARGET_LIMITS
 import org.wisteriahinge.bench.policy.runDeepCalls
+import org.wisteriahinge.bench.policy.runHedging
 import org.wisteriahinge.bench.policy.runPoisonFront
 import org.wisteriahinge.bench.policy.runPolicies
 import org.wisteriahinge.bench.policy.runStranded
@@ -84,6 +86,7 @@
         name == "added-latency" -> println(AddedLatency(seed).use { it.run() })
         name == TARGET_LIMITS -> println(runTargetLimits(seed.toLong()))
         name == POISON_FRONT -> println(runPoisonFront(instances, seed.toLong()))
+        name == HEDGING -> runHedging(seed.toLong()).forEach(::println)
         name == STRANDED -> println(runStranded(instances, share, seed.toLong()))
         name == DEEP_CALLS -> println(runDeepCalls(seed.toLong()))
         name == ENDLESS_ANSWERS -> println(runEndlessAnswers(seconds))
@@ -103,6 +106,7 @@
     val others =
         listOf(
             DEEP_CALLS,
+            HEDGING,
             POISON_FRONT,
             STRANDED,
             TARGET_LIMITS,
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/Scenario.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import org.wisteriahinge.app.RetryBudgetSettings
 import org.wisteriahinge.core.model.Repeatability
 import org.wisteriahinge.core.model.WorkClass
 import org.wisteriahinge.core.survey.SurveyPolicy
@@ -79,7 +80,8 @@
  * What a run simulates; a value without behaviour.
  *
  * Requests that arrive before [warmupMillis] are simulated and not measured. [queueLimit] requests
- * wait at a target before it sheds. A target refreshes its load report every [reportMillis].
+ * wait at a target before it sheds. A target refreshes its load report every [reportMillis]. With
+ * a [retryBudget] the load balancer's own policy retries and hedges as `front` does.
  */
 internal data class Scenario(
     val name: String,
@@ -105,6 +107,7 @@
     val callers: SimCallers = SimCallers.Customers,
     val resending: Resending = Resending(),
     val stranding: Stranding? = null,
+    val retryBudget: RetryBudgetSettings? = null,
     val reference: Reference? = null,
     val extraFields: (RunResult) -> Map<String, Double> = { emptyMap() }
 ) {
--- a/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
+++ b/bench/src/main/kotlin/org/wisteriahinge/bench/policy/SimInstances.kt
@@ -2,12 +2,14 @@
 
 import java.time.Instant
 import kotlin.random.Random
+import org.wisteriahinge.app.toRetrySettings
 import org.wisteriahinge.core.call.AttemptFailure
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.decide
 import org.wisteriahinge.core.model.CallId
 import org.wisteriahinge.core.model.Configuration
+import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.core.survey.SurveysState
 
@@ -20,7 +22,8 @@
     val routing = RoutingState(decided.policy, zoneOf(index, zones), seed * instances + index)
     val members = CallEvent.MembersChanged(instanceId(index), instanceIds())
     val surveys = SurveysState(survey)
-    val retries = decided.policy.retries()
+    val retries = retryBudget?.let { RetryState(it.toRetrySettings(routing.seed)) }
+        ?: decided.policy.retries()
     return CallsState(
         Configuration.Empty,
         routing,
