--- a/bench/src/test/kotlin/org/wisteriahinge/bench/FrontDeployment.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/FrontDeployment.kt
@@ -13,6 +13,7 @@
 import org.wisteriahinge.app.FrontInstance
 import org.wisteriahinge.app.FrontSettings
 import org.wisteriahinge.app.PlatformEndpoints
+import org.wisteriahinge.app.PropagationBounds
 import org.wisteriahinge.app.RetryBudgetSettings
 import org.wisteriahinge.bench.soak.LoopbackProxy
 import org.wisteriahinge.bench.standin.StandInPlatformTarget
@@ -30,8 +31,11 @@
  * A deployment that is [sharing] the targets of another one reaches them through proxies of its
  * own, so that its links break apart from those of the other.
  */
-internal class FrontDeployment(targets: Int = 2, private val sharing: FrontDeployment? = null) :
-    Closeable {
+internal class FrontDeployment(
+    targets: Int = 2,
+    private val sharing: FrontDeployment? = null,
+    private val bounds: PropagationBounds = PropagationBounds()
+) : Closeable {
     val store = StandInStore()
     val targets: List<StandInPlatformTarget> =
         sharing?.targets ?: List(targets) { StandInPlatformTarget("i-${it + 1}") }
@@ -89,7 +93,8 @@
         maxTimeout = Duration.ofSeconds(10),
         bodyMemoryBytes = 1_048_576,
         seed = 1,
-        handover = Address("127.0.0.1", freePort())
+        handover = Address("127.0.0.1", freePort()),
+        bounds = bounds
     )
 
     fun status(address: Address): Int = send(address, "/api/ready").statusCode()
@@ -98,12 +103,14 @@
         address: Address,
         path: String,
         body: String? = null,
-        id: String = "r-1"
+        id: String = "r-1",
+        key: String? = null
     ): HttpResponse<String> {
         val request = HttpRequest.newBuilder(URI("http://$address$path"))
             .timeout(Duration.ofSeconds(10))
             .header("Wisteriahinge-Request-Id", id)
             .header("Wisteriahinge-Deadline-Ms", "2000")
+        if (key != null) request.header("Authorization", "Bearer $key")
         if (body != null) request.POST(HttpRequest.BodyPublishers.ofString(body))
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString())
     }
