--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/relay/RelayServer.kt
@@ -17,9 +17,9 @@
 import org.wisteriahinge.adapters.http.InternalClients
 import org.wisteriahinge.adapters.http.InternalExchange
 import org.wisteriahinge.adapters.http.InternalHttpServer
-import org.wisteriahinge.core.clients.ClientAddress
 import org.wisteriahinge.adapters.quota.QUOTA_PATH
 import org.wisteriahinge.adapters.quota.QuotaEndpoint
+import org.wisteriahinge.core.clients.ClientAddress
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.watch.TopicPosition
 import org.wisteriahinge.runtime.MirroredRecords
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/quota/QuotaExchangeTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/quota/QuotaExchangeTest.kt
@@ -14,8 +14,10 @@
 import org.junit.jupiter.api.Test
 import org.wisteriahinge.adapters.backend.BackendClient
 import org.wisteriahinge.adapters.backend.ConnectionLimits
+import org.wisteriahinge.adapters.clients.ClientRegistry
 import org.wisteriahinge.adapters.relay.RelayServer
 import org.wisteriahinge.core.call.CallEvent
+import org.wisteriahinge.core.clients.ClientLimits
 import org.wisteriahinge.core.model.Address
 import org.wisteriahinge.core.model.CustomerId
 import org.wisteriahinge.core.model.RequestQuota
@@ -60,7 +62,9 @@
 
     private fun relay(quotas: QuotaEndpoint?): Pair<RelayServer, Address> {
         val anyPort = Address("127.0.0.1", 0)
-        val server = RelayServer(anyPort, persistentHashMapOf(), client.loop, clock, quotas)
+        val clients = ClientRegistry(ClientLimits(), clock) { }
+        val server =
+            RelayServer(anyPort, persistentHashMapOf(), client.loop, clock, clients, quotas)
         return server to Address("127.0.0.1", server.start())
     }
 
