Decide who gets the room of a service that is short of it

What was seen: at `front` every call passed the queue, and the second round of its survey accepted any free slot. Above what targets can do at their usual pace, all kinds and customers fared alike and nearly all were answered late: callers came back after 250 to 500 ms whatever their objective, and targets stayed in the slow range above 0.8 of their slots. A round ended on the first report of a free slot, and targets that had not reported yet then counted as unknown, so that calls passed without room.

Change: core.scarcity decides for each service by what targets report (docs/design/scarcity.md). While surveys rarely find a target at its usual pace, only the most urgent of several ranks use the last slots, the third rank needs two targets with room, and customers far above their usual share and requests that come back before Retry-After need more. A call that cannot be answered before its deadline is refused before any probe. Retry-After grows with the shortage up to a third of the time that the objective leaves, and with the rank. A round ends early only when the reports so far show room for its call. The ranks of a service take the priorities of keyed customers in.

Ruled out: shortage from the own refusals, which made instances either refuse nothing or nearly everything. Not built: a queue at the instance, and refusals without probes in a lasting shortage.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/metrics/CallMetrics.kt
@@ -29,6 +29,8 @@
 
     private fun keyOf(counter: CallCounter): CounterKey = when (counter) {
         is CallCounter.Refused -> REFUSED.with(counter.reason.wireName)
+        is CallCounter.RoomDenied ->
+            ROOM_DENIED.with(counter.service.value, counter.denial.wireName)
         is CallCounter.Answered ->
             ANSWERED.with(counter.service.value, counter.status.toString())
         is CallCounter.AttemptFailed ->
@@ -53,6 +55,12 @@
     private companion object {
         val REFUSED =
             family("wisteriahinge_refused_total", "Calls refused, by reason", "reason")
+        val ROOM_DENIED = family(
+            "wisteriahinge_room_denied_total",
+            "Calls refused for lack of room at the targets, by cause",
+            "service",
+            "cause"
+        )
         val ANSWERED = family(
             "wisteriahinge_answered_total",
             "Calls answered by targets",
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallCounter.kt
@@ -14,11 +14,29 @@
     public data object Refused : RateLimitOutcome("refused")
 }
 
+/** Why a call got no part of the room that the targets of its service have. */
+public sealed class RoomDenial(public val wireName: String) {
+    /** No target can answer it before its deadline. */
+    public data object Hopeless : RoomDenial("hopeless")
+
+    /** Its customer sent far more than usual. */
+    public data object AboveShare : RoomDenial("above_share")
+
+    /** It came back earlier than its caller was asked to wait. */
+    public data object Early : RoomDenial("early")
+
+    /** The targets in its survey have no room for calls of its rank. */
+    public data object Full : RoomDenial("full")
+}
+
 /** A counter metric of events and decisions on calls, with its labels. */
 public sealed interface CallCounter {
     /** A call was refused by the load balancer. */
     public data class Refused(val reason: RefusalReason) : CallCounter
 
+    /** A call of [service] was refused because of the room that its targets have. */
+    public data class RoomDenied(val service: ServiceId, val denial: RoomDenial) : CallCounter
+
     /** A call was answered by a target with [status]. */
     public data class Answered(val service: ServiceId, val status: Int) : CallCounter
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallRank.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallRank.kt
@@ -1,13 +1,19 @@
 package org.wisteriahinge.core.call
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.toPersistentList
 import org.wisteriahinge.core.model.Entitlements
+import org.wisteriahinge.core.model.KeyedCustomers
 import org.wisteriahinge.core.model.Operation
 import org.wisteriahinge.core.model.Repeatability
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.ratelimit.RequestUrgency
 
+/** Ranks beyond this one are treated alike where room is short. */
+private const val MAX_URGENCY_STEP = 2
+
 /**
  * The rank of a call where a service cannot take all: the lower [priority] value first, and of
  * equal ones those that may not be repeated, because their callers cannot simply ask again.
@@ -26,23 +32,46 @@
         }
     )
 
-/** The rank of the most urgent operation or route of each service in [entitlements]. */
-internal fun mostUrgentOf(entitlements: Entitlements): PersistentMap<ServiceId, CallRank> {
+/**
+ * The ranks of the operations and routes of each service in [entitlements], most urgent first, with
+ * those that the priorities of [keyed] customers give to routes.
+ */
+internal fun ranksOf(
+    entitlements: Entitlements,
+    keyed: KeyedCustomers?
+): PersistentMap<ServiceId, PersistentList<CallRank>> {
     val own = entitlements.services.values.flatMap { service ->
         service.operations.map { service.id to it.rank }
     }
+    val priorities = keyed?.byId?.values.orEmpty().mapNotNull { it.priority }.distinct()
     val routed = entitlements.routes.routes.flatMap { route ->
-        route.backends.map { it.service to route.operation.rank }
-    }
-    return (own + routed).fold(persistentHashMapOf()) { all, (service, rank) ->
-        val known = all[service]
-        if (known == null || rank < known) all.put(service, rank) else all
+        val ranks = priorities.map { route.operation.rank.copy(priority = it) }
+        route.backends.flatMap { backend ->
+            (ranks + route.operation.rank).map { backend.service to it }
+        }
     }
+    return (own + routed).groupBy({ it.first }, { it.second }).entries
+        .fold(persistentHashMapOf()) { all, (service, ranks) ->
+            all.put(service, ranks.distinct().sorted().toPersistentList())
+        }
 }
 
 /** Whether [call] goes first at targets whose rate limit does not allow all calls. */
 internal fun CallsState.urgencyOf(call: CallInProgress): RequestUrgency {
-    val first = mostUrgent[call.matched.service.id] ?: return RequestUrgency.First
+    val first = ranks[call.matched.service.id]?.firstOrNull() ?: return RequestUrgency.First
     val isFirst = call.matched.operation.rank <= first
     return if (isFirst) RequestUrgency.First else RequestUrgency.Later
 }
+
+/** How many ranks of its service are more urgent than [call], up to [MAX_URGENCY_STEP]. */
+internal fun CallsState.urgencyStep(call: CallInProgress): Int {
+    val own = call.matched.operation.rank
+    return ranks[call.matched.service.id].orEmpty().count { it < own }
+        .coerceAtMost(MAX_URGENCY_STEP)
+}
+
+/** Whether no rank of its service is less urgent than [call]. */
+internal fun CallsState.isLeastUrgent(call: CallInProgress): Boolean {
+    val own = call.matched.operation.rank
+    return ranks[call.matched.service.id].orEmpty().none { it > own }
+}
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -110,7 +110,7 @@
     val next = copy(
         configuration = configuration.copy(entitlements = entitlements),
         routing = routing.configured(entitlements),
-        mostUrgent = mostUrgentOf(entitlements)
+        ranks = ranksOf(entitlements, configuration.keyed)
     )
     return next.announceIfChanged(before = routing.rateLimits)
 }
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -22,6 +22,7 @@
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
 import org.wisteriahinge.core.routing.WeightedRoundRobin
+import org.wisteriahinge.core.scarcity.ScarcityState
 import org.wisteriahinge.core.survey.SurveysState
 
 /** An attempt that has not ended, with its state in the chart `call-attempt`. */
@@ -67,9 +68,10 @@
  *
  * @property backendTurns position in the weighted rotation of each route over its backends
  * @property listed the targets listed by a registry; null where the operators' lists name them
- * @property mostUrgent the rank of the most urgent calls of each service
+ * @property ranks the ranks of the calls of each service, most urgent first
  * @property held the calls that arrived before the instance could serve them
  * @property handover the paths to the targets, and the instances that may have others
+ * @property scarcity who gets the room that the targets of a service have
  */
 public data class CallsState(
     val configuration: Configuration,
@@ -83,9 +85,10 @@
     val surveys: SurveysState = SurveysState(),
     val backendTurns: PersistentMap<OperationId, WeightedRoundRobin> = persistentHashMapOf(),
     val listed: ListedTargets? = null,
-    val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
+    val ranks: PersistentMap<ServiceId, PersistentList<CallRank>> = persistentHashMapOf(),
     val held: HeldCalls = HeldCalls(),
-    val handover: HandoverState = HandoverState()
+    val handover: HandoverState = HandoverState(),
+    val scarcity: ScarcityState = ScarcityState()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
@@ -23,6 +23,10 @@
 import org.wisteriahinge.core.routing.TargetView
 import org.wisteriahinge.core.routing.probesTimedOut
 import org.wisteriahinge.core.routing.ranked
+import org.wisteriahinge.core.scarcity.countDemand
+import org.wisteriahinge.core.scarcity.recordSurvey
+import org.wisteriahinge.core.scarcity.refuseFull
+import org.wisteriahinge.core.scarcity.refuseIfHopeless
 
 /** Probes the best targets for their load, except those whose last report is recent enough. */
 internal fun CallsState.enterSurvey(call: CallInProgress, now: Instant): StageOutcome =
@@ -33,7 +37,9 @@
                 // Targets that cannot be reached have nothing to report.
                 StageOutcome.Passed(CallsDecision(this))
             } else {
-                startFirstRound(call, policy, now)
+                refuseIfHopeless(call, now)?.let {
+                    StageOutcome.Refused(it.decision, it.refusal)
+                } ?: countDemand(call, now).startFirstRound(call, policy, now)
             }
     }
 
@@ -59,13 +65,17 @@
     val round = if (others == null) SurveyRound.Second else SurveyRound.First
     return when (val verdict = verdict(call, probed, round, now)) {
         is SurveyVerdict.Capacity -> StageOutcome.Passed(
-            CallsDecision(recordCapacity(call, verdict.available))
+            CallsDecision(recordCapacity(call, verdict.available, probed, now))
         )
         is SurveyVerdict.SlowCapacity -> others?.let { StageOutcome.Suspended(it) }
-            ?: StageOutcome.Passed(CallsDecision(recordCapacity(call, verdict.available)))
+            ?: StageOutcome.Passed(
+                CallsDecision(recordCapacity(call, verdict.available, probed, now))
+            )
         SurveyVerdict.Unknown -> StageOutcome.Passed(CallsDecision(this))
         SurveyVerdict.Full -> others?.let { StageOutcome.Suspended(it) }
-            ?: StageOutcome.Refused(CallsDecision(recordFull(call, probed, now)), fullRefusal(call))
+            ?: recordFull(call, probed, now).refuseFull(call, now).let {
+                StageOutcome.Refused(it.decision, it.refusal)
+            }
     }
 }
 
@@ -111,7 +121,7 @@
         val (callId, survey) = entry
         val rest = survey.copy(awaiting = survey.awaiting.remove(target))
         decision.then {
-            if (sufficient || rest.awaiting.isEmpty()) {
+            if (rest.awaiting.isEmpty() || sufficient && it.hasRoomFor(callId, rest, now)) {
                 it.endRound(callId, rest, now)
             } else {
                 CallsDecision(it.copy(surveys = it.surveys.withSurvey(callId, rest)))
@@ -120,6 +130,15 @@
     }
 }
 
+/** Whether the reports so far show enough room for the call. */
+private fun CallsState.hasRoomFor(callId: CallId, survey: Survey, now: Instant): Boolean {
+    val call = calls[callId] ?: return true
+    return when (verdict(call, survey.probed, survey.round, now)) {
+        is SurveyVerdict.Capacity -> true
+        is SurveyVerdict.SlowCapacity, SurveyVerdict.Unknown, SurveyVerdict.Full -> false
+    }
+}
+
 /** Whether the target is suitable enough not to wait for other reports. */
 private fun LoadReport.isSufficient(now: Instant): Boolean =
     observedAt >= now && inFlight < slots && isUsualPace()
@@ -156,34 +175,32 @@
     val round = if (more == null) SurveyRound.Second else SurveyRound.First
     return when (val verdict = closed.verdict(call, survey.probed, round, now)) {
         is SurveyVerdict.Capacity ->
-            closed.recordCapacity(call, verdict.available)
+            closed.recordCapacity(call, verdict.available, survey.probed, now)
                 .resumeAfter(CallStage.Survey, callId, now)
         is SurveyVerdict.SlowCapacity ->
-            more ?: closed.recordCapacity(call, verdict.available)
+            more ?: closed.recordCapacity(call, verdict.available, survey.probed, now)
                 .resumeAfter(CallStage.Survey, callId, now)
         SurveyVerdict.Unknown -> more ?: closed.resumeAfter(CallStage.Survey, callId, now)
-        SurveyVerdict.Full -> more ?: closed.recordFull(call, survey.probed, now).let {
-            it.refuse(callId, it.fullRefusal(call), now)
-        }
+        SurveyVerdict.Full -> more ?: closed.recordFull(call, survey.probed, now)
+            .refuseFull(call, now)
+            .let { full -> full.decision.then { it.refuse(callId, full.refusal, now) } }
     }
 }
 
 private fun CallsState.recordCapacity(
     call: CallInProgress,
-    available: PersistentSet<TargetId>
-): CallsState =
-    recordOutcome(call, full = false).withCall(call.copy(targetsWithCapacity = available))
+    available: PersistentSet<TargetId>,
+    probed: Collection<TargetId>,
+    now: Instant
+): CallsState = recordSurvey(call, probed, now).withCall(call.copy(targetsWithCapacity = available))
 
 private fun CallsState.recordFull(
     call: CallInProgress,
     probed: Collection<TargetId>,
     now: Instant
-): CallsState = recordOutcome(call, full = true)
+): CallsState = recordSurvey(call, probed, now)
     .withCall(call.withStep(TraceStep.NoCapacity(now, routing.snapshotsOf(probed))))
 
-private fun CallsState.recordOutcome(call: CallInProgress, full: Boolean): CallsState =
-    copy(surveys = surveys.recordOutcome(call.matched.service.id, full))
-
 /** Starts the second round of a survey; null if there is no other target to probe. */
 private fun CallsState.startSecondRound(
     call: CallInProgress,
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyVerdict.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyVerdict.kt
@@ -2,35 +2,22 @@
 
 import java.time.Duration
 import java.time.Instant
-import java.util.SplittableRandom
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentSet
 import org.wisteriahinge.core.call.CallInProgress
 import org.wisteriahinge.core.call.CallsState
 import org.wisteriahinge.core.call.urgencyOf
-import org.wisteriahinge.core.model.Execution
 import org.wisteriahinge.core.model.LoadReport
-import org.wisteriahinge.core.model.Refusal
-import org.wisteriahinge.core.model.RefusalReason
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.routing.TargetView
-
-/** Utilization of its slots up to which a target works at its usual pace. */
-private const val FIRST_ROUND_MAX_UTILIZATION = 0.8
+import org.wisteriahinge.core.scarcity.RoomNeed
+import org.wisteriahinge.core.scarcity.isBelowUsualPaceLimit
+import org.wisteriahinge.core.scarcity.roomNeed
 
 /** An older report does not describe the current queue of its target. */
 private val MAX_REPORT_AGE: Duration = Duration.ofMillis(100)
 
-/** Callers that retry after this delay, or up to twice of it, can still be answered in time. */
-private const val SHORT_RETRY_DELAY_MILLIS = 30L
-
-/** Delay while most calls find no capacity, so that callers retry after the peak. */
-private const val LONG_RETRY_DELAY_MILLIS = 250L
-
-/** Share of calls without capacity above which a peak is expected to last. */
-private const val SUSTAINED_OVERLOAD_SHARE = 0.5
-
 private const val MAX_USUAL_PACE_PERCENT = 110
 private const val USUAL_PACE_PERCENT = 100
 
@@ -64,7 +51,13 @@
     if (permitted.isEmpty() && probed.isNotEmpty()) return SurveyVerdict.Unknown
     val views = permitted.mapNotNull { routing.targets[it] }
     val known = views.filter { it.hasRecentReport(now) }
-    val withCapacity = known.filter { it.hasCapacity(round) }
+    val need = roomNeed(call, now)
+    val free = known.filter { it.hasCapacity(round, need) }
+    val needed = when (round) {
+        SurveyRound.First -> need.targets
+        SurveyRound.Second -> minOf(need.targets, views.size)
+    }
+    val withCapacity = if (free.size >= needed) free else emptyList()
     val available = withCapacity.map { it.target.id }.toPersistentSet()
     return when {
         call.matched.operation.bounds.objective == null -> SurveyVerdict.Capacity(persistentSetOf())
@@ -84,20 +77,11 @@
     load?.let { it.observedAt + MAX_REPORT_AGE > now } == true
 
 /** Nearly full targets are slower; the second round accepts them because no other has capacity. */
-private fun TargetView.hasCapacity(round: SurveyRound): Boolean {
+private fun TargetView.hasCapacity(round: SurveyRound, need: RoomNeed): Boolean {
     val report = load ?: return true
     val busy = maxOf(report.inFlight, inFlight)
     return when (round) {
-        SurveyRound.First -> busy == 0 || busy + 1 <= report.slots * FIRST_ROUND_MAX_UTILIZATION
-        SurveyRound.Second -> busy < report.slots
+        SurveyRound.First -> isBelowUsualPaceLimit(busy, report.slots)
+        SurveyRound.Second -> need.hasRoom(busy, report.slots)
     }
 }
-
-/** Refusal with a random delay, short if a slot may become free in time, long in a lasting peak. */
-internal fun CallsState.fullRefusal(call: CallInProgress): Refusal {
-    val draw = SplittableRandom(routing.seed xor call.request.callId.value)
-    val sustained = surveys.fullShare(call.matched.service.id) > SUSTAINED_OVERLOAD_SHARE
-    val minMillis = if (sustained) LONG_RETRY_DELAY_MILLIS else SHORT_RETRY_DELAY_MILLIS
-    val delay = Duration.ofMillis(minMillis + draw.nextLong(minMillis))
-    return Refusal(RefusalReason.Overloaded, Execution.NotRun, delay)
-}
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
@@ -6,7 +6,6 @@
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
 import org.wisteriahinge.core.model.CallId
-import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
 
 /** Whether targets are probed for their load right before a request is sent to one of them. */
@@ -30,9 +29,6 @@
     ) : SurveyPolicy
 }
 
-/** Weight of the newest call in the moving average of calls that found no capacity. */
-private const val FULL_SHARE_WEIGHT = 0.1
-
 /** The round of a survey, which decides which targets are probed and how full they may be. */
 public sealed interface SurveyRound {
     /** The best targets are probed. */
@@ -57,29 +53,16 @@
 /**
  * The surveys in progress, and what they share.
  *
- * [probedAt] holds when each pending probe was sent, by target. [fullShares] holds the share of
- * recent calls that found no capacity, by service.
+ * [probedAt] holds when each pending probe was sent, by target.
  */
 public data class SurveysState(
     val policy: SurveyPolicy = SurveyPolicy.Off,
     val open: PersistentMap<CallId, Survey> = persistentHashMapOf(),
-    val probedAt: PersistentMap<TargetId, Instant> = persistentHashMapOf(),
-    val fullShares: PersistentMap<ServiceId, Double> = persistentHashMapOf()
+    val probedAt: PersistentMap<TargetId, Instant> = persistentHashMapOf()
 ) {
     /** When the first open survey expires; null if none is open. */
     public val earliestExpiry: Instant? get() = open.values.minOfOrNull { it.expiresAt }
 
-    /** Moving average of the share of calls of [service] that found no capacity. */
-    internal fun fullShare(service: ServiceId): Double = fullShares[service] ?: 0.0
-
-    /** Updates [fullShare] after a call of [service] that passed or found all targets [full]. */
-    internal fun recordOutcome(service: ServiceId, full: Boolean): SurveysState {
-        val sample = if (full) 1.0 else 0.0
-        val before = fullShare(service)
-        val share = before + FULL_SHARE_WEIGHT * (sample - before)
-        return copy(fullShares = fullShares.put(service, share))
-    }
-
     internal fun withSurvey(callId: CallId, survey: Survey): SurveysState =
         copy(open = open.put(callId, survey))
 
