--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallHedges.kt
@@ -14,9 +14,6 @@
 import org.wisteriahinge.core.routing.TargetRequest
 import org.wisteriahinge.core.survey.SurveyRound
 
-/** Share of recent calls that found no capacity above which slots are not used for hedges. */
-private const val MAX_FULL_SHARE = 0.2
-
 /** Starts a hedge, a parallel attempt, for each repeatable short call with a slow attempt. */
 internal fun CallsState.startHedges(now: Instant): CallsDecision = when (retries.settings.hedging) {
     Hedging.Off -> CallsDecision(this)
@@ -82,7 +79,7 @@
         isSuspected(call, now) -> RetryDenial.Suspected
         identityOf(call, now).isErr -> RetryDenial.KeyNotAccepted
         shortCallsWait(service) || callsSearchCapacity(service) -> RetryDenial.CallsWaiting
-        surveys.fullShare(service) > MAX_FULL_SHARE -> RetryDenial.Overloaded
+        scarcity.of(service).shortage.isShort(now) -> RetryDenial.Overloaded
         spent == null -> RetryDenial.BudgetSpent
         else -> when (destination) {
             Destination.None, is Destination.RateLimited -> RetryDenial.NoOtherTarget
--- a/core/src/test/kotlin/org/wisteriahinge/core/call/HedgeTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/HedgeTest.kt
@@ -1,5 +1,9 @@
 package org.wisteriahinge.core.call
 
+import org.wisteriahinge.core.scarcity.Shortage
+import org.wisteriahinge.core.scarcity.ServiceScarcity
+import org.wisteriahinge.core.scarcity.ScarcityState
+import kotlinx.collections.immutable.persistentHashMapOf
 import java.time.Duration
 import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
@@ -98,9 +102,11 @@
     @Test
     fun `calls are not hedged while many find no capacity`() {
         val harness = harness(TARGETS).arriveOpen(request(1))
-        val surveys = harness.state.surveys
+        val shortage = Shortage(surveys = 20.0, full = 10.0, harness.now)
         harness.state = harness.state.copy(
-            surveys = surveys.copy(fullShares = surveys.fullShares.put(service, 0.5))
+            scarcity = ScarcityState(
+                persistentHashMapOf(service to ServiceScarcity(shortage))
+            )
         )
         expectThat(harness.tickAfter(130).forwarded).isEmpty()
         expectThat(harness.denials()).containsExactly(RetryDenial.Overloaded)
