--- a/core/src/main/kotlin/org/wisteriahinge/core/quota/QuotaStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quota/QuotaStage.kt
@@ -96,8 +96,9 @@
 
 /** Asks each relay for nothing, so that the first calls find connections to them. */
 internal fun CallsState.greetRelays(now: Instant): CallsDecision {
-    val isNeeded = configuration.keyed?.quotas().orEmpty().isNotEmpty()
-    if (!isNeeded || quotas.contacts.isNotEmpty()) return CallsDecision(this)
+    val isNeeded = quotas.contacts.isEmpty() &&
+        configuration.keyed?.quotas().orEmpty().isNotEmpty()
+    if (!isNeeded) return CallsDecision(this)
     val (client, questions) = quotas.askAll(now)
     return CallsDecision(copy(quotas = client)).emitAll(questions.map { CallEffect.AskQuota(it) })
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaStageTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaStageTest.kt
@@ -143,6 +143,16 @@
         expectThat(left.arrive(2, after = 300).sent()).isEmpty()
     }
 
+    @Test
+    fun `the token of a call that no target takes serves the next call`() {
+        val withoutTargets = initial.copy(configuration = CallFixture.state(0).configuration)
+            .copy(routing = CallFixture.state(0).routing)
+        val refused = CallsDecision(withoutTargets).arrive(1).handle(granted(near, 0, 1), 3)
+        expectThat(refused.refusal()?.reason).isEqualTo(RefusalReason.NoTarget)
+        expectThat(refused.arrive(2, after = 100).asked()).isEmpty()
+        expectThat(refused.arrive(2, after = 300).asked()).isNotEmpty()
+    }
+
     @Test
     fun `an answer to a question that was given up grants nothing`() {
         val late = CallsDecision(initial).arrive(1)
