Ask a relay again soon about a customer that it does not know yet

A relay that had not read the configuration with a new customer was left out for that customer for 2 s, although it reads the configuration within less. It is now asked again after 0.3 s.

--- a/core/src/main/kotlin/org/wisteriahinge/core/quota/QuotaClient.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quota/QuotaClient.kt
@@ -250,7 +250,7 @@
         nextTokenIn: Duration?,
         now: Instant
     ): QuotaClient {
-        val pause = (nextTokenIn ?: MAX_PAUSE).coerceIn(MIN_PAUSE, MAX_PAUSE)
+        val pause = (nextTokenIn ?: MIN_PAUSE).coerceIn(MIN_PAUSE, MAX_PAUSE)
         val tokens = tokensOf(customer)
         val until = tokens.pausedUntil.put(relay, now + pause)
         return with(customer, tokens.copy(pausedUntil = until))
--- a/core/src/main/kotlin/org/wisteriahinge/core/quota/QuotaMessages.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/quota/QuotaMessages.kt
@@ -8,7 +8,7 @@
 
 /**
  * The [tokens] that a relay granted to the calls of [customer]. If these are fewer than it was
- * asked for, it has the next one in [nextTokenIn]; null if it never will.
+ * asked for, it has the next one in [nextTokenIn]; null if it does not know the customer yet.
  */
 public data class QuotaGrant(
     val customer: CustomerId,
--- a/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaStageTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaStageTest.kt
@@ -117,6 +117,14 @@
         expectThat(end.arrive(2, after = 10).asked()).isEmpty()
     }
 
+    @Test
+    fun `a relay that does not know a new customer yet is asked again soon`() {
+        val unknown = CallsDecision(initial).arrive(1)
+            .handle(granted(near, 0, tokens = 0), 3)
+            .handle(granted(far, 3, tokens = 0), 6)
+        expectThat(unknown.arrive(2, after = 400).asked()).isNotEmpty()
+    }
+
     @Test
     fun `a call whose relays do not answer is refused and not charged`() {
         val next = CallsDecision(initial).arrive(1).handle(unanswered(near, 0), 120)
