--- a/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaStageTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaStageTest.kt
@@ -117,6 +117,14 @@
         expectThat(end.arrive(2, after = 10).asked()).isEmpty()
     }
 
+    @Test
+    fun `a relay that does not know a new customer yet is asked again soon`() {
+        val unknown = CallsDecision(initial).arrive(1)
+            .handle(granted(near, 0, tokens = 0), 3)
+            .handle(granted(far, 3, tokens = 0), 6)
+        expectThat(unknown.arrive(2, after = 400).asked()).isNotEmpty()
+    }
+
     @Test
     fun `a call whose relays do not answer is refused and not charged`() {
         val next = CallsDecision(initial).arrive(1).handle(unanswered(near, 0), 120)
@@ -143,6 +151,16 @@
         expectThat(left.arrive(2, after = 300).sent()).isEmpty()
     }
 
+    @Test
+    fun `the token of a call that no target takes serves the next call`() {
+        val withoutTargets = initial.copy(configuration = CallFixture.state(0).configuration)
+            .copy(routing = CallFixture.state(0).routing)
+        val refused = CallsDecision(withoutTargets).arrive(1).handle(granted(near, 0, 1), 3)
+        expectThat(refused.refusal()?.reason).isEqualTo(RefusalReason.NoTarget)
+        expectThat(refused.arrive(2, after = 100).asked()).isEmpty()
+        expectThat(refused.arrive(2, after = 300).asked()).isNotEmpty()
+    }
+
     @Test
     fun `an answer to a question that was given up grants nothing`() {
         val late = CallsDecision(initial).arrive(1)
