Answer requests that were sent ahead at ready and relays in turn

All requests of a decoded slice were answered at once, also when the client did not read. An answer of a relay holds all records of a topic, so that one connection could make the instance hold dozens of copies.

Each answer is now written before the next request is served, and is accounted for; one that does not fit closes its connection. ClientLimitsTest checks that a request of 3,500 short fields and a body of 300,000 chunks are served in calm.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/clients/TrackedClient.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/clients/TrackedClient.kt
@@ -66,6 +66,10 @@
         registry.add(this, bytes.toLong())
     }
 
+    /** Accounts for an answer that [answerRead] releases; false if it does not fit. */
+    fun holdAnswer(bytes: Int): Boolean =
+        hold(bytes.toLong()).also { if (it) unreadAnswerBytes += bytes }
+
     fun answerRead(bytes: Int) {
         unreadAnswerBytes -= bytes
         release(bytes.toLong())
--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/http/InternalHttpServer.kt
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import java.io.Closeable
 import java.net.InetSocketAddress
+import java.util.ArrayDeque
 import org.wisteriahinge.adapters.backend.IoLoop
 import org.wisteriahinge.adapters.caller.HeadTimedOut
 import org.wisteriahinge.adapters.caller.HeadTimeoutHandler
@@ -44,6 +45,9 @@
 /** Its timeouts bound how long a client may send a request and stay idle. */
 private val REQUEST_LIMITS = RequestLimits()
 
+/** What a request that was sent ahead takes in memory until its turn. */
+private const val PENDING_REQUEST_BYTES = 2L * 1_024
+
 /** The registry of clients, and the [address] in it of a server. */
 internal class InternalClients(val registry: ClientRegistry, val address: ClientAddress)
 
@@ -77,7 +81,10 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
         client.activity = ClientActivity.Answering
-        client.answerWritten(answer.body.size)
+        if (!client.holdAnswer(answer.body.size)) {
+            context.close()
+            return
+        }
         val written = context.writeAndFlush(response)
         written.addListener {
             client.answerRead(answer.body.size)
@@ -145,17 +152,46 @@
         private val gate: ReadGate,
         private val timeout: HeadTimeoutHandler
     ) : SimpleChannelInboundHandler<FullHttpRequest>() {
+        private val pending = ArrayDeque<FullHttpRequest>()
+
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            if (client.isBusy) {
+                pending.add(request.retain())
+                client.holdReceived(PENDING_REQUEST_BYTES)
+            } else {
+                serveNow(context, request)
+            }
+        }
+
+        private fun serveNow(context: ChannelHandlerContext, request: FullHttpRequest) {
             timeout.headComplete()
             client.isBusy = true
             client.activity = ClientActivity.Serving
-            serve(InternalExchange(context, request, client) { awaitRequest(context) })
+            serve(InternalExchange(context, request, client) { answered(context) })
         }
 
-        private fun awaitRequest(context: ChannelHandlerContext) {
+        private fun answered(context: ChannelHandlerContext) {
             client.requestEnded()
             timeout.awaitRequest()
-            gate.resume(context.pipeline().context(gate) ?: return)
+            // Not from here: a long row of requests that are answered at once would nest too deep.
+            context.executor().execute { serveNext(context) }
+        }
+
+        private fun serveNext(context: ChannelHandlerContext) {
+            if (client.isBusy) return
+            val next = pending.poll()
+            if (next == null) {
+                gate.resume(context.pipeline().context(gate) ?: return)
+            } else {
+                client.release(PENDING_REQUEST_BYTES)
+                serveNow(context, next)
+                next.release()
+            }
+        }
+
+        override fun handlerRemoved(context: ChannelHandlerContext) {
+            pending.forEach { it.release() }
+            pending.clear()
         }
 
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
--- a/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/ClientLimitsTest.kt
+++ b/adapters/src/test/kotlin/org/wisteriahinge/adapters/caller/ClientLimitsTest.kt
@@ -76,6 +76,18 @@
         }
     }
 
+    @Test
+    fun `a single request of many short fields or chunks is served`() {
+        CallerFixture(listOf(RawTarget { answer(it.body.size.toString()) })).use {
+            val fields = AUTHORIZATION + "a:\r\n".repeat(3_500)
+            expectThat(it.exchange(get(headers = fields))?.status).isEqualTo(200)
+            val chunked = "PUT /files/1 HTTP/1.1\r\nHost: lb\r\n$AUTHORIZATION" +
+                "Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(300_000) +
+                "0\r\n\r\n"
+            expectThat(it.exchange(chunked)?.text).isEqualTo("300000")
+        }
+    }
+
     @Test
     fun `a client that reads no answers is closed`() {
         val limits = ClientLimits(answerReadTimeout = Duration.ofMillis(300))
--- a/bench/src/test/kotlin/org/wisteriahinge/bench/hostile/CrowdedInstance.kt
+++ b/bench/src/test/kotlin/org/wisteriahinge/bench/hostile/CrowdedInstance.kt
@@ -35,18 +35,22 @@
 private const val KIB_PER_MIB = 1_024
 private const val OK = 200
 
+/** The addresses of an instance to which a crowd connects. */
+internal enum class CrowdPlace { CALLERS, READY, HANDOVER, RELAY }
+
 /** An instance with lowered limits as a process of its own, a sound service and an endless one. */
 internal class CrowdedInstance(log: File) : Closeable {
     private val store = StandInStore()
     private val sound = StandInPlatformTarget("sound")
     private val endless = EndlessTarget(EndlessPart.BODY_WITH_LENGTH, AtomicLong())
+    private val relay = freeAddress()
     private val addresses = SoakAddresses(
         callers = freeAddress(),
         ready = freeAddress(),
-        relay = freeAddress(),
+        relay = relay,
         handover = freeAddress(),
         store = Address("127.0.0.1", store.start()),
-        relays = persistentListOf()
+        relays = persistentListOf(relay)
     )
     private val instance: SoakInstance
 
@@ -77,14 +81,20 @@
 
     val openDescriptors: Int get() = File("/proc/${instance.pid}/fd").list().orEmpty().size
 
-    /** Where [traffic] is sent: at the ready address, or with and without a route. */
-    fun doors(traffic: HostileTraffic, atReadyAddress: Boolean): List<Door> = when {
-        atReadyAddress -> listOf(
-            Door(addresses.ready, "/api/ready"),
-            Door(addresses.ready, "/metrics")
+    /** Where [traffic] is sent at [place]. */
+    fun doors(traffic: HostileTraffic, place: CrowdPlace): List<Door> = when (place) {
+        CrowdPlace.CALLERS -> if (traffic == HostileTraffic.SLOW_READERS) {
+            listOf(Door(addresses.callers, "/e/1"))
+        } else {
+            listOf(Door(addresses.callers, "/x/1"), Door(addresses.callers, "/none"))
+        }
+        CrowdPlace.READY ->
+            listOf(Door(addresses.ready, "/api/ready"), Door(addresses.ready, "/metrics"))
+        CrowdPlace.HANDOVER -> listOf(Door(addresses.handover, "/x/1"))
+        CrowdPlace.RELAY -> listOf(
+            Door(addresses.relay, "/topics/keyed.op/newest"),
+            Door(addresses.relay, "/topics/keyed.op/changes?from=1000&wait_ms=10000")
         )
-        traffic == HostileTraffic.SLOW_READERS -> listOf(Door(addresses.callers, "/e/1"))
-        else -> listOf(Door(addresses.callers, "/x/1"), Door(addresses.callers, "/none"))
     }
 
     fun isReady(): Boolean = instance.isReady()
