Send nothing to the targets of a zone that the operator evacuates

Records op/evacuate/ZONE were read and ignored, so that requests and probes went on to targets of a zone that the operator had emptied.

Targets of an evacuated zone are left out of the list that the calls duty routes by, so first attempts, retries, hedges, surveys, probes and calls from other instances have none of them. The newest records replace the zones, so an instance that starts in between, or that missed a removal, knows them. Where there is no such record nothing changes. The rate of cold targets is not limited yet.

--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontInstance.kt
@@ -13,6 +13,7 @@
 import org.wisteriahinge.adapters.backend.ConnectionLimits
 import org.wisteriahinge.adapters.caller.ListeningSocket
 import org.wisteriahinge.adapters.metrics.TopicMetrics
+import org.wisteriahinge.adapters.metrics.registerEvacuatedZones
 import org.wisteriahinge.core.call.CallEffect
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.group.GroupEvent
@@ -91,7 +92,10 @@
         pipeline.loop
     )
     private val metricsRegistry: PrometheusRegistry by lazy {
-        pipeline.metricsRegistry.also { topicMetrics().register(it) }
+        pipeline.metricsRegistry.also {
+            topicMetrics().register(it)
+            registerEvacuatedZones(it) { topics.evacuatedZones }
+        }
     }
 
     private fun topicMetrics(): TopicMetrics {
--- a/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
+++ b/app/src/main/kotlin/org/wisteriahinge/app/FrontTopics.kt
@@ -9,10 +9,14 @@
 import org.wisteriahinge.core.call.CallEvent
 import org.wisteriahinge.core.directory.DirectoryRecord
 import org.wisteriahinge.core.directory.DirectoryState
+import org.wisteriahinge.core.evacuation.EvacuatedZones
+import org.wisteriahinge.core.evacuation.OperatorRecord
 import org.wisteriahinge.core.keys.ClockReading
 import org.wisteriahinge.core.model.Configuration
 import org.wisteriahinge.core.model.ListedTargets
 import org.wisteriahinge.core.model.RevisionNumber
+import org.wisteriahinge.core.model.Zone
+import org.wisteriahinge.core.watch.TopicPosition
 import org.wisteriahinge.core.watch.WatchUpdate
 import org.wisteriahinge.platform.DecodeException
 import org.wisteriahinge.platform.PlatformTopics
@@ -39,7 +43,7 @@
         seed,
         clock,
         ::decodeOperatorRecord,
-        ::onConfigurationUpdate,
+        ::onOperatorUpdate,
         confirmed = ::onConfigurationConfirmed
     )
     private val targetsWatch = TopicWatchDuty(
@@ -57,6 +61,13 @@
     // Accessed only on the thread of configurationWatch.
     private var isNewestUsable = true
 
+    /** Written only on the thread of configurationWatch. */
+    @Volatile
+    private var evacuation = EvacuatedZones()
+
+    /** The zones whose targets get nothing. */
+    val evacuatedZones: Set<Zone> get() = evacuation.zones
+
     /** The duties that follow topics here. */
     val watches: PersistentList<TopicWatchDuty<*>> =
         persistentListOf(configurationWatch, targetsWatch)
@@ -66,19 +77,36 @@
         targetsWatch.start()
     }
 
-    private fun decodeOperatorRecord(record: KeyedRecord): Configuration? {
+    private fun decodeOperatorRecord(record: KeyedRecord): OperatorRecord? {
         val value = record.value
-        if (record.key != PlatformTopics.CONFIGURATION_KEY || value == null) return null
-        return try {
-            decodeConfiguration(value).also { isNewestUsable = true }
-        } catch (e: DecodeException) {
-            logger.error { "configuration at ${record.position} is not used: ${e.message}" }
-            isNewestUsable = false
-            null
+        val prefix = PlatformTopics.EVACUATION_KEY_PREFIX
+        return when {
+            record.key == PlatformTopics.CONFIGURATION_KEY ->
+                value?.let { decodeOrLog(it, record.position) }
+                    ?.let(OperatorRecord::Configured)
+            record.key.startsWith(prefix) -> {
+                val zone = Zone(record.key.removePrefix(prefix))
+                if (value == null) {
+                    OperatorRecord.ZoneRestored(zone)
+                } else {
+                    OperatorRecord.ZoneEvacuated(zone)
+                }
+            }
+            else -> null
         }
     }
 
-    private fun onConfigurationUpdate(news: WatchUpdate<Configuration>) {
+    private fun decodeOrLog(value: ByteArray, position: TopicPosition): Configuration? = try {
+        decodeConfiguration(value).also { isNewestUsable = true }
+    } catch (e: DecodeException) {
+        logger.error { "configuration at $position is not used: ${e.message}" }
+        isNewestUsable = false
+        null
+    }
+
+    private fun onOperatorUpdate(news: WatchUpdate<OperatorRecord>) {
+        // Before the configuration, which may release early calls.
+        applyEvacuation(evacuation.decide(news))
         when (news) {
             is WatchUpdate.Newest -> {
                 logIfRestored("operator's", news)
@@ -92,6 +120,20 @@
         }
     }
 
+    private fun applyEvacuation(next: EvacuatedZones) {
+        if (next == evacuation) return
+        evacuation = next
+        pipeline.offerBlocking(CallEvent.ZonesEvacuated(next.zones))
+        logger.info { "evacuated zones: ${next.zones.ifEmpty { "none" }}" }
+    }
+
+    private fun applyConfiguration(record: OperatorRecord) {
+        when (record) {
+            is OperatorRecord.Configured -> applyConfiguration(record.configuration)
+            is OperatorRecord.ZoneEvacuated, is OperatorRecord.ZoneRestored -> Unit
+        }
+    }
+
     /** Keys that a configuration takes away which cannot be used here would be accepted on. */
     private fun onConfigurationConfirmed(moment: ClockReading) {
         if (!hasRevocationBound || !isNewestUsable || view.revision == RevisionNumber.None) return
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallEvent.kt
@@ -18,6 +18,7 @@
 import org.wisteriahinge.core.model.RequestDigest
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.model.TargetStatement
+import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.once.ClaimSettlement
 import org.wisteriahinge.core.quarantine.ServerCheckOutcome
 import org.wisteriahinge.core.ratelimit.RateLimitShare
@@ -77,6 +78,9 @@
     /** The registry listed the targets of all services; replaces those of the operators' lists. */
     public data class TargetsListed(val targets: ListedTargets) : DutyDecision
 
+    /** The operator evacuated exactly these [zones]; their listed targets get nothing more. */
+    public data class ZonesEvacuated(val zones: PersistentSet<Zone>) : DutyDecision
+
     /** The `once` duty settled the claim of a call. */
     public data class ClaimSettled(val callId: CallId, val settlement: ClaimSettlement) :
         DutyDecision
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsDecide.kt
@@ -83,6 +83,7 @@
                 .then { it.releaseHeld(now) }
         is CallEvent.TargetsListed ->
             targetsListed(event.targets).then { it.releaseHeld(now) }
+        is CallEvent.ZonesEvacuated -> copy(evacuated = event.zones).withListedTargets()
         is CallEvent.ClaimSettled -> claimSettled(event, now)
         is CallEvent.SharesChanged -> CallsDecision(sharesChanged(event, now))
         is CallEvent.AnswerCaptured -> CallsDecision(answerCaptured(event))
@@ -114,7 +115,7 @@
 
 private fun CallsState.withListedTargets(): CallsDecision {
     val own = configuration.entitlements
-    val entitlements = listed?.let { own.withTargets(it) } ?: own
+    val entitlements = listed?.let { own.withTargets(it.outside(evacuated)) } ?: own
     val next = copy(
         configuration = configuration.copy(entitlements = entitlements),
         routing = routing.configured(entitlements),
--- a/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/call/CallsState.kt
@@ -5,6 +5,7 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.wisteriahinge.core.admission.AdmissionState
@@ -19,6 +20,7 @@
 import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.ServiceId
 import org.wisteriahinge.core.model.TargetId
+import org.wisteriahinge.core.model.Zone
 import org.wisteriahinge.core.quarantine.QuarantineState
 import org.wisteriahinge.core.retry.RetryState
 import org.wisteriahinge.core.routing.RoutingState
@@ -72,6 +74,7 @@
  * @property held the calls that arrived before the instance could serve them
  * @property handover the paths to the targets, and the instances that may have others
  * @property keyTrust whether the configuration is young enough to tell which API keys are accepted
+ * @property evacuated the zones whose listed targets get nothing
  */
 public data class CallsState(
     val configuration: Configuration,
@@ -88,7 +91,8 @@
     val mostUrgent: PersistentMap<ServiceId, CallRank> = persistentHashMapOf(),
     val held: HeldCalls = HeldCalls(),
     val handover: HandoverState = HandoverState(),
-    val keyTrust: KeyTrust = KeyTrust()
+    val keyTrust: KeyTrust = KeyTrust(),
+    val evacuated: PersistentSet<Zone> = persistentHashSetOf()
 ) {
     internal fun withCall(call: CallInProgress): CallsState =
         copy(calls = calls.put(call.request.callId, call))
--- a/core/src/main/kotlin/org/wisteriahinge/core/model/Entitlements.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/model/Entitlements.kt
@@ -5,6 +5,8 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.collections.immutable.toPersistentList
 
 /** Whether an operation may run again when its outcome is unknown. */
 public sealed interface Repeatability {
@@ -126,7 +128,18 @@
 }
 
 /** The targets of all services in a registry, which replace those in the operators' lists. */
-public data class ListedTargets(val byService: PersistentMap<ServiceId, PersistentList<Target>>)
+public data class ListedTargets(val byService: PersistentMap<ServiceId, PersistentList<Target>>) {
+    /** The targets outside of [zones]. */
+    internal fun outside(zones: Set<Zone>): ListedTargets = if (zones.isEmpty()) {
+        this
+    } else {
+        ListedTargets(
+            byService.mapValues { (_, targets) -> targets.filter { it.zone !in zones } }
+                .mapValues { (_, targets) -> targets.toPersistentList() }
+                .toPersistentHashMap()
+        )
+    }
+}
 
 /** The operation that matches a request, and its service. */
 public data class MatchedOperation(val service: Service, val operation: Operation) {
