--- a/core/src/test/kotlin/org/wisteriahinge/core/call/HedgeTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/call/HedgeTest.kt
@@ -1,10 +1,7 @@
 package org.wisteriahinge.core.call
 
-import org.wisteriahinge.core.scarcity.Shortage
-import org.wisteriahinge.core.scarcity.ServiceScarcity
-import org.wisteriahinge.core.scarcity.ScarcityState
-import kotlinx.collections.immutable.persistentHashMapOf
 import java.time.Duration
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
 import org.wisteriahinge.core.call.OpenRoutesFixture.arriveOpen
@@ -16,6 +13,9 @@
 import org.wisteriahinge.core.model.OperationId
 import org.wisteriahinge.core.model.TargetId
 import org.wisteriahinge.core.retry.RetryDenial
+import org.wisteriahinge.core.scarcity.ScarcityState
+import org.wisteriahinge.core.scarcity.ServiceScarcity
+import org.wisteriahinge.core.scarcity.Shortage
 import org.wisteriahinge.core.survey.Survey
 import org.wisteriahinge.core.survey.SurveyRound
 import strikt.api.expectThat
