Probe one target first, and none while probed targets almost always have room

What was seen: each call probed two targets at once, also while the first report almost always sufficed: two probes a request at a calm service, which cost processor time at small instances.

Change: a service counts how often probed targets are bad, nearly full or slowed by neighbours (2 s decay).

The goal of less than one probe a request holds only for calm services without noise.

Tests: SurveyTest names firstTargets = 2 where it checks probes at once, and has a case for one after the other; ScarcityTest bounds probes a request with and without noise.

--- a/core/src/main/kotlin/org/wisteriahinge/core/scarcity/Shortage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/scarcity/Shortage.kt
@@ -30,6 +30,9 @@
         return full * weight / (surveys * weight + ASSUMED_SURVEYS)
     }
 
+    /** The number of surveys that count at [now]. */
+    internal fun count(now: Instant): Double = surveys * decayWeight(countedAt, now, DECAY_MILLIS)
+
     /** Whether calls compete for the room of the service. */
     public fun isShort(now: Instant): Boolean = share(now) > SHORT_SHARE
 
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveyStage.kt
@@ -24,6 +24,8 @@
 import org.wisteriahinge.core.routing.probesTimedOut
 import org.wisteriahinge.core.routing.ranked
 import org.wisteriahinge.core.scarcity.countDemand
+import org.wisteriahinge.core.scarcity.firstTargets
+import org.wisteriahinge.core.scarcity.recordProbeReport
 import org.wisteriahinge.core.scarcity.recordSurvey
 import org.wisteriahinge.core.scarcity.refuseFull
 import org.wisteriahinge.core.scarcity.refuseIfHopeless
@@ -48,7 +50,9 @@
     policy: SurveyPolicy.BeforeEach,
     now: Instant
 ): StageOutcome {
-    val candidates = routing.ranked(routeRequest(call, now), policy.targets, now)
+    val count = firstTargets(call, policy, now)
+    if (count == 0) return StageOutcome.Passed(CallsDecision(this))
+    val candidates = routing.ranked(routeRequest(call, now), count, now)
     val stale = candidates.filterNot { it.isFresh(policy, now) }
     val probed = candidates.map { it.target.id }.toPersistentSet()
     if (stale.isEmpty()) return decideOnFreshReports(call, probed, now)
@@ -61,7 +65,7 @@
     probed: PersistentSet<TargetId>,
     now: Instant
 ): StageOutcome {
-    val others = startSecondRound(call, probed, now)
+    val others = startNextRound(call, probed, now)
     val round = if (others == null) SurveyRound.Second else SurveyRound.First
     return when (val verdict = verdict(call, probed, round, now)) {
         is SurveyVerdict.Capacity -> StageOutcome.Passed(
@@ -114,7 +118,9 @@
 
 /** Resumes the calls that need no further report, after a probe of [target] has ended. */
 internal fun CallsState.continueSurveys(target: TargetId, now: Instant): CallsDecision {
-    val seen = copy(surveys = surveys.probeEnded(target))
+    val seen = recordProbeReport(target, now).let {
+        it.copy(surveys = it.surveys.probeEnded(target))
+    }
     val sufficient = routing.targets[target]?.load?.isSufficient(now) == true
     val waiting = seen.surveys.open.filterValues { target in it.awaiting }
     return waiting.entries.sortedBy { it.key.value }.fold(CallsDecision(seen)) { decision, entry ->
@@ -169,7 +175,7 @@
         return closed.resumeAfter(CallStage.Survey, callId, now)
     }
     val more = when (survey.round) {
-        SurveyRound.First -> closed.startSecondRound(call, survey.probed, now)
+        SurveyRound.First -> closed.startNextRound(call, survey.probed, now)
         SurveyRound.Second -> null
     }
     val round = if (more == null) SurveyRound.Second else SurveyRound.First
@@ -201,6 +207,29 @@
 ): CallsState = recordSurvey(call, probed, now)
     .withCall(call.withStep(TraceStep.NoCapacity(now, routing.snapshotsOf(probed))))
 
+/**
+ * Probes the rest of the targets of the first round, or starts the second one; null if there is no
+ * other target to probe.
+ */
+private fun CallsState.startNextRound(
+    call: CallInProgress,
+    probed: PersistentSet<TargetId>,
+    now: Instant
+): CallsDecision? = when (val policy = surveys.policy) {
+    SurveyPolicy.Off -> null
+    is SurveyPolicy.BeforeEach -> {
+        val request = routeRequest(call, now).let { it.copy(exclude = it.exclude.addAll(probed)) }
+        val rest = routing.ranked(request, (policy.targets - probed.size).coerceAtLeast(0), now)
+        val all = probed.addAll(rest.map { it.target.id })
+        val stale = rest.filterNot { it.isFresh(policy, now) }
+        if (stale.isEmpty()) {
+            startSecondRound(call, all, now)
+        } else {
+            startRound(call, stale, all, SurveyRound.First, policy, now)
+        }
+    }
+}
+
 /** Starts the second round of a survey; null if there is no other target to probe. */
 private fun CallsState.startSecondRound(
     call: CallInProgress,
--- a/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/survey/SurveysState.kt
@@ -16,13 +16,15 @@
     /**
      * The best [targets] are probed, except those that reported within [maxReportAge]. If none of
      * them has capacity, [secondRoundTargets] others are probed. If these have none either, the
-     * request is refused.
+     * request is refused. While most targets have room, [firstTargets] of the best are probed
+     * first, and the rest of them only if these have none.
      *
      * A round waits for reports for at most [maxWait], which bounds the delay that a target that
      * does not answer can cause.
      */
     public data class BeforeEach(
         val targets: Int = 2,
+        val firstTargets: Int = 1,
         val secondRoundTargets: Int = 4,
         val maxReportAge: Duration = Duration.ofMillis(20),
         val maxWait: Duration = Duration.ofMillis(20)
--- a/core/src/test/kotlin/org/wisteriahinge/core/scarcity/ScarcityTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/scarcity/ScarcityTest.kt
@@ -107,4 +107,18 @@
         val played = play(listOf(history to 1.04, impatient to 0.26), noise = true)
         expectThat(played.goodShareOf(impatient)).isLessThan(played.goodShareOf(history))
     }
+
+    @Test
+    fun `a calm service of equal targets needs less than a probe for each request`() {
+        val played = play(mix.times(0.3))
+        expectThat(played.probes / played.ended.size.toDouble()).isLessThan(1.0)
+        expectThat(played.goodShare()).isGreaterThan(0.99)
+    }
+
+    @Test
+    fun `a calm service with noisy neighbours is probed until a fast target is found`() {
+        val played = play(mix.times(0.3), noise = true)
+        expectThat(played.probes / played.ended.size.toDouble()).isLessThan(2.0)
+        expectThat(played.goodShare()).isGreaterThan(0.98)
+    }
 }
--- a/core/src/test/kotlin/org/wisteriahinge/core/survey/SurveyTest.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/survey/SurveyTest.kt
@@ -23,9 +23,15 @@
 
 /** Guards against needless waits for load reports and against targets without capacity. */
 class SurveyTest {
+    private val twoAndTwo = SurveyPolicy.BeforeEach(
+        targets = 2,
+        firstTargets = 2,
+        secondRoundTargets = 2
+    )
+
     @Test
     fun `a survey probes a few targets and takes the one with a free slot at the usual pace`() {
-        val harness = harness(survey = SurveyPolicy.BeforeEach(targets = 3))
+        val harness = harness(survey = SurveyPolicy.BeforeEach(targets = 3, firstTargets = 3))
         harness.arriveOpen(request(1))
         val probed = harness.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }
         expectThat(probed).hasSize(3)
@@ -39,7 +45,7 @@
 
     @Test
     fun `a call is refused early when no target has capacity`() {
-        val harness = harness(survey = SurveyPolicy.BeforeEach(targets = 2, secondRoundTargets = 2))
+        val harness = harness(survey = twoAndTwo)
         harness.arriveOpen(request(1))
         harness.now = start.plusMillis(1)
         repeat(2) {
@@ -55,7 +61,7 @@
 
     @Test
     fun `a call goes to a target with capacity that only the second round finds`() {
-        val harness = harness(survey = SurveyPolicy.BeforeEach(targets = 2, secondRoundTargets = 2))
+        val harness = harness(survey = twoAndTwo)
         harness.arriveOpen(request(1))
         harness.now = start.plusMillis(1)
         harness.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }.forEach {
@@ -69,7 +75,7 @@
 
     @Test
     fun `other targets are probed when all targets with capacity are slow`() {
-        val harness = harness(survey = SurveyPolicy.BeforeEach(targets = 2, secondRoundTargets = 2))
+        val harness = harness(survey = twoAndTwo)
         harness.arriveOpen(request(1))
         harness.now = start.plusMillis(1)
         harness.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }.forEach {
@@ -83,7 +89,8 @@
 
     @Test
     fun `a call is forwarded when all targets with capacity are slow`() {
-        val harness = harness(targets = 2, survey = SurveyPolicy.BeforeEach(targets = 2))
+        val harness =
+            harness(targets = 2, survey = SurveyPolicy.BeforeEach(targets = 2, firstTargets = 2))
         harness.arriveOpen(request(1))
         harness.now = start.plusMillis(1)
         listOf("t1", "t2").forEach {
@@ -94,7 +101,7 @@
 
     @Test
     fun `a survey expires when targets do not answer, and the call avoids them`() {
-        val policy = SurveyPolicy.BeforeEach(targets = 2)
+        val policy = SurveyPolicy.BeforeEach(targets = 2, firstTargets = 2)
         val harness = harness(survey = policy).arriveOpen(request(1))
         val probed = harness.effects.filterIsInstance<CallEffect.Probe>().map { it.target.id }
         expectThat(harness.state.tickDueAt(start)).isEqualTo(start + policy.maxWait)
@@ -105,7 +112,8 @@
 
     @Test
     fun `targets with recent reports are not probed`() {
-        val harness = harness(targets = 2, survey = SurveyPolicy.BeforeEach(targets = 2))
+        val harness =
+            harness(targets = 2, survey = SurveyPolicy.BeforeEach(targets = 2, firstTargets = 2))
         harness.arriveOpen(request(1))
         harness.now = start.plusMillis(1)
         listOf("t1", "t2").forEach {
@@ -126,4 +134,16 @@
         expectThat(harness.forwarded).isEmpty()
         expectThat(harness.state.surveys.open.size).isLessThan(1)
     }
+
+    @Test
+    fun `a second target is probed only when the first one has no room at its usual pace`() {
+        val harness = harness(survey = SurveyPolicy.BeforeEach(targets = 2, firstTargets = 1))
+        harness.arriveOpen(request(1))
+        val first = harness.effects.filterIsInstance<CallEffect.Probe>().single().target.id
+        harness.now = start.plusMillis(1)
+        harness.handle(CallEvent.LoadReported(first, report(harness.now, pace = 400)))
+        val second = harness.effects.filterIsInstance<CallEffect.Probe>().single().target.id
+        harness.handle(CallEvent.LoadReported(second, report(harness.now)))
+        expectThat(harness.forwarded.single().target.id).isEqualTo(second)
+    }
 }
