--- a/core/src/main/kotlin/org/wisteriahinge/core/scarcity/RecentRefusals.kt
+++ b/core/src/main/kotlin/org/wisteriahinge/core/scarcity/RecentRefusals.kt
@@ -25,7 +25,7 @@
 public data class RecentRefusals(
     val waitUntil: PersistentMap<RequestMark, Instant> = persistentHashMapOf()
 ) {
-    /** When [request] should be sent again at the earliest; null if it does not come early. */
+    /** Whether [request] was refused and is back before its caller was asked to send it again. */
     internal fun isEarly(request: CallRequest, now: Instant): Boolean {
         if (waitUntil.isEmpty()) return false
         val until = request.mark()?.let { waitUntil[it] } ?: return false
