--- a/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaPlay.kt
+++ b/core/src/test/kotlin/org/wisteriahinge/core/quota/QuotaPlay.kt
@@ -34,7 +34,7 @@
 private val ASK_TIMEOUT: Duration = Duration.ofMillis(120)
 private val WINDOW: Duration = Duration.ofSeconds(5)
 private const val ZONES = 3
-private const val CONSUMERS = 1_600
+private const val CALLERS = 1_600
 private const val USUAL_PER_SECOND = 917.0
 private const val QUOTA_RATIO = 1.6
 private const val SKEW = 1.2
@@ -76,7 +76,7 @@
     /** Requests a second of a customer, by its place in the order of size. */
     var demand: (Int) -> Double = ::usual
 
-    /** The instances that the consumers of a customer reach; null for those of all consumers. */
+    /** The instances that the callers of a customer reach; null for those of all callers. */
     var reached: (Int) -> List<Int>? = { null }
 
     init {
@@ -151,8 +151,8 @@
 
     private fun arrive(rank: Int) {
         val customer = customers[rank - 1]
-        val consumers = maxOf(1, (CONSUMERS * usual(rank) / USUAL_PER_SECOND).toInt())
-        val home = homes.getOrPut(customer.id to random.nextInt(consumers)) {
+        val callers = maxOf(1, (CALLERS * usual(rank) / USUAL_PER_SECOND).toInt())
+        val home = homes.getOrPut(customer.id to random.nextInt(callers)) {
             random.nextInt(instances)
         }
         val choices = reached(rank) ?: listOf(home)
