Close the connections in use when a client of targets is closed

Cause, read and not brought about: the client relied on the I/O thread to close its channels when it ends. The thread checks for its end before it runs its last tasks; an end that is asked for in between leaves the channels open, and their exchanges never hear of it. An ending process loses nothing by that, a client that is closed in a running process does.

Change: the client closes its open connections before its thread ends, so that the outcome of each exchange does not depend on that moment.

--- a/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
+++ b/adapters/src/main/kotlin/org/wisteriahinge/adapters/backend/TargetConnections.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelOption
 import io.netty.channel.RecvByteBufAllocator
+import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.pool.AbstractChannelPoolHandler
 import io.netty.channel.pool.AbstractChannelPoolMap
 import io.netty.channel.pool.FixedChannelPool
@@ -56,6 +57,7 @@
  */
 internal class TargetConnections(private val loop: IoLoop, private val limits: ConnectionLimits) :
     Closeable {
+    private val opened = DefaultChannelGroup(loop.executor)
     private val pools = object : AbstractChannelPoolMap<Address, FixedChannelPool>() {
         override fun newPool(key: Address) = createPool(key)
     }
@@ -151,12 +153,18 @@
                 { pools.get(address).release(it) },
                 ::resendOnNewConnection
             )
+            opened.add(channel)
             channel.pipeline().addLast(HttpRequestEncoder(), AnswerDecoder(handler))
             channel.pipeline().addLast(HANDLER, handler)
         }
     }
 
+    /**
+     * Closes also the connections that are in use, so that each exchange has an outcome: an I/O
+     * thread that ends may leave them open without a word.
+     */
     override fun close() {
+        opened.close()
         pools.close()
     }
 }
