--- a/review/standin/Front.java
+++ b/review/standin/Front.java
@@ -113,11 +113,6 @@
         }
     }
 
-    /** Sends a signal to this process only. */
-    void signal(String signal) throws Exception {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-    }
-
     /** Stops as the platform does: SIGTERM, and SIGKILL after the grace time. */
     void stop(long graceSeconds) throws Exception {
         process.destroy();
@@ -128,10 +123,6 @@
         process.destroyForcibly().waitFor();
     }
 
-    boolean isAlive() {
-        return process != null && process.isAlive();
-    }
-
     static InetSocketAddress addressOf(String text) {
         int colon = text.lastIndexOf(':');
         return new InetSocketAddress(
